Let each door keep to a share of the backends

A slot count of 4 over 80 doors left every backend at the least slots with a pause of seconds after each answer, and its place in the pause, not its speed, chose the backend.

Hypothesis: each door using every backend is the cause; with 16 doors to a backend, handshakes should fall to about a third and single backends' latencies draw together. Would be wrong if served worth did not rise.

Ruled out first: making only the latency prior and the floor steadier (served worth unchanged, over-quota price up), and letting more requests through without a call to the counter (over-quota price doubled). Lines at fault: choose, fill, watchServer, eject, trialServer (whole ring), and the slots, pauses and budgets per Settings.Doors in entry, pace and coldFull.

Design: seat works out of the names which backends are near. Doors of a round share out the list, so each backend is near to as many doors and a change of the list moves few. Others serve only when no near one can, and never while cold. The answers a second that budgets go by now fade while none come, and the cold budget's margin is 0.5, as fewer doors each send more to a cold backend.

--- a/door.go
+++ b/door.go
@@ -33,6 +33,8 @@
 	thinAll     = 0.6                     // ... and at which all are ...
 	thinMost    = 0.97                    // ... but for a few, whose answers tell when it is over
 	thinSlope   = 1.5                     // what the lowest level adds to that part, as a multiple
+	sharersMost = 16.0                    // doors to which one server is near: their traffic is even in sum
+	nearLeast   = 8                       // servers near to a door at least, so that one lost is no great part
 	slotsStart  = 4.0                     // slots of a server at first, over all doors
 	slotsMost   = 32.0                    // slots at most
 	slotsLeast  = 0.1                     // and at least: under one, pauses between sends
@@ -79,7 +81,7 @@
 	trialWait   = 4.0                     // ... and that the trial may take of it
 	restartTime = 2 * time.Second         // a server silent for longer may have been started anew
 	rateOver    = 3.0                     // seconds over which the sends to a warm server are averaged
-	coldMargin  = 0.6                     // share of the cold budget that is used: work differs from mean work
+	coldMargin  = 0.5                     // share of the cold budget that is used: work differs from mean work
 	forgetAfter = 60 * time.Second        // an idle customer is forgotten
 )
 
@@ -362,7 +364,13 @@
 }
 
 // thin says from 0 to 1 how little a door learns of one server by its own sends.
-func (d *Door) thin() float64 { return 1 - min(1, d.rate/evidence) }
+func (d *Door) thin() float64 { return 1 - min(1, d.met()/evidence) }
+
+// met is this door's part, in answers a second, of what a warm server carries for the doors it is near to.
+func (d *Door) met() float64 {
+	gap := (d.now - d.rateAt).Seconds() / rateOver
+	return d.rate * math.Exp(-gap) * float64(d.set.Doors) / d.sharers
+}
 
 // choose picks a server: round robin, passing over one on which more work waits for its weight and speed, and
 // one in its pause. Where a door sends to each so rarely that what it knows is old or luck, chance has a part
@@ -386,6 +394,12 @@
 		if !d.free(s) {
 			cost = cost*10/min(1, s.slots) + 1e3
 		}
+		if !s.near {
+			if d.warmth(s) < 1 { // its cold budget belongs to the doors that it is near to
+				continue
+			}
+			cost += 1e4
+		}
 		if d.coldFull(s) {
 			cost += 1e6
 		}
@@ -396,6 +410,41 @@
 	return best
 }
 
+// seat picks the servers that are near: those that this door uses while it can (a departure: many doors; were
+// each to use all, a server's connections and handshakes would grow with the doors, and each door would meet
+// it too seldom to know it). The doors of one round share out the whole list, in an order that all of the
+// round work out alike from the names: so every server is near to as many doors, and a change of the list
+// moves few of them.
+func (d *Door) seat() {
+	var names []string
+	for _, s := range d.ring {
+		s.near = false
+		if s.listed {
+			names = append(names, s.name)
+		}
+	}
+	n := len(names)
+	if n == 0 {
+		return
+	}
+	size := min(n, max(nearLeast, int(math.Ceil(sharersMost*float64(n)/float64(d.set.Doors)))))
+	seats := (n + size - 1) / size // of a round
+	round := d.set.Rank / seats
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(seatOrder(a, round), seatOrder(b, round)), cmp.Compare(a, b))
+	})
+	first := d.set.Rank % seats * n / seats
+	for i := range size {
+		d.servers[names[(first+i)%n]].near = true
+	}
+	d.sharers = max(1, float64(d.set.Doors)*float64(size)/float64(n))
+	for _, s := range d.ring {
+		if s.slots < 0 {
+			s.slots = max(slotsLeast, slotsStart/d.sharers)
+		}
+	}
+}
+
 // mayRepeat says whether a request that may have run can go to a server (rule 2).
 func (d *Door) mayRepeat(r *request, s *server) bool {
 	if !r.ran {
@@ -461,7 +510,7 @@
 func (d *Door) fill(s *server) {
 	for s.usable() && d.free(s) && !d.coldFull(s) {
 		from := s
-		if s.queued == 0 && d.queued == 0 {
+		if s.queued == 0 && (d.queued == 0 || !s.near) {
 			return
 		} else if s.queued == 0 {
 			for _, o := range d.ring {
@@ -520,7 +569,7 @@
 		return false
 	}
 	span := d.set.FallWindow.Seconds()
-	budget := coldMargin * d.set.FallMultiple * w * d.rate * s.weight * span
+	budget := coldMargin * d.set.FallMultiple * w * d.met() * s.weight * span
 	if budget < 1 {
 		span = min(span/budget, d.set.WarmWithin.Seconds())
 		budget = 1
@@ -672,12 +721,12 @@
 	floor := &d.floor[r.class]
 	if d.base[r.class] < *floor || *floor == 0 {
 		*floor = d.base[r.class]
-	} else if s.slots*float64(d.set.Doors) <= squeezed {
+	} else if s.slots*d.sharers <= squeezed {
 		*floor += floorGain * (d.base[r.class] - *floor)
 	}
 	high := min(r.tau.Seconds()*margin*shrinkAbove, shrinkRatio**floor)
 	switch lat := d.latency(r, s); {
-	case lat > high && s.slots*float64(d.set.Doors) > 0.7*squeezed:
+	case lat > high && s.slots*d.sharers > 0.7*squeezed:
 		s.slots *= shrinkBy
 	case lat < high*growShare && len(s.outs)+1 >= int(s.slots):
 		s.slots = min(slotsMost, s.slots+growBy/max(1, s.slots))
@@ -782,12 +831,16 @@
 		return
 	}
 	live := 0
+	near := 0
 	for _, o := range d.ring {
+		if o.near {
+			near++
+		}
 		if o.usable() && d.now-o.heard < d.now-s.heard && d.now-o.heard < 500*time.Millisecond {
 			live++
 		}
 	}
-	if 4*live >= len(d.ring) && live > 0 {
+	if 4*live >= near && live > 0 {
 		d.eject(s)
 	}
 }
@@ -795,7 +848,7 @@
 // eject stops new work to a server, moves its queue on and calls back what could still be served elsewhere.
 func (d *Door) eject(s *server) {
 	s.ejected, s.trying = true, false
-	s.trialPause = max(trialFirst, time.Duration(d.rng.Int64N(int64(d.set.Doors)*int64(trialEach))))
+	s.trialPause = max(trialFirst, time.Duration(d.rng.Int64N(int64(d.sharers*float64(trialEach)))))
 	s.trialAt = d.now + s.trialPause
 	d.act(Log{"no longer used: " + s.name})
 	d.moveQueue(s)
@@ -811,7 +864,7 @@
 
 func (d *Door) nextTrial(s *server) {
 	s.trying = false
-	s.trialPause = min(max(trialMost, time.Duration(d.set.Doors)*trialEach), s.trialPause*3/2)
+	s.trialPause = min(max(trialMost, time.Duration(d.sharers*float64(trialEach))), s.trialPause*3/2)
 	s.trialAt = d.now + s.trialPause
 }
 
@@ -822,7 +875,7 @@
 		return nil
 	}
 	for _, s := range d.ring {
-		if s.listed && s.ejected && !s.trying && d.now >= s.trialAt && !d.coldFull(s) {
+		if s.listed && s.near && s.ejected && !s.trying && d.now >= s.trialAt && !d.coldFull(s) {
 			return s
 		}
 	}
@@ -868,6 +921,7 @@
 		d.retireMissing(ev.Entries)
 	}
 	d.prune()
+	d.seat()
 	for _, s := range d.ring {
 		d.fill(s)
 	}
@@ -880,7 +934,7 @@
 		if b.State != InService {
 			return
 		}
-		s = &server{name: b.Name, started: -1, slots: max(slotsLeast, slotsStart/float64(d.set.Doors))}
+		s = &server{name: b.Name, started: -1, slots: -1}
 		d.servers[b.Name] = s
 		d.ring = append(d.ring, s)
 	}
--- a/size_test.go
+++ b/size_test.go
@@ -178,3 +178,61 @@
 		t.Errorf("%d sends for 1500 requests to servers that turn all away; want a few", sent)
 	}
 }
+
+// Each of many doors uses a few backends, each backend serves as many doors, and one that goes moves few of them.
+func TestManyDoorsShareOutTheBackends(t *testing.T) {
+	const doors, servers = 80, 60
+	set := crowd(doors)
+	set.Counter = false
+	list := backends(servers)
+	all := make([]*Door, doors)
+	for i := range all {
+		set.Rank = i
+		all[i] = open(t, set, list...)
+	}
+	used := make([]map[string]bool, doors)
+	run := func(from time.Duration) map[string]int {
+		meets := map[string]int{}
+		for i, d := range all {
+			used[i] = map[string]bool{}
+			for n := range 200 {
+				now := from + time.Duration(n)*200*ms
+				for _, s := range only[Send](d.Step(now, []Event{ask(uint64(from)+uint64(n), 0, 2), Timer{0}})) {
+					used[i][s.Backend] = true
+					d.Step(now+50*ms, []Event{served(s, 0, 50*ms)})
+				}
+			}
+			for name := range used[i] {
+				meets[name]++
+			}
+		}
+		return meets
+	}
+	for name, n := range run(ms) {
+		if n < 8 || n > 24 {
+			t.Errorf("%s serves %d of the doors", name, n)
+		}
+	}
+	before, moved := used, 0
+	used = make([]map[string]bool, doors)
+	for _, d := range all {
+		list[7].State = Terminated
+		d.Step(50*time.Second, []Event{List{Scope: Delta, Entries: list[7:8]}})
+	}
+	if meets := run(60 * time.Second); len(meets) != servers-1 || meets[list[7].Name] != 0 {
+		t.Errorf("%d backends in use after one of %d has gone", len(meets), servers)
+	}
+	for i, m := range used {
+		if len(m) > 20 {
+			t.Errorf("door %d uses %d backends", i, len(m))
+		}
+		for name := range m {
+			if !before[i][name] {
+				moved++
+			}
+		}
+	}
+	if moved > 3*doors {
+		t.Errorf("%d new pairs of door and backend after one has gone", moved)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -17,6 +17,7 @@
 	zone, cell          int
 	weight, slots, slow float64
 	listed              bool // in service, by the list
+	near                bool // one of those that this door uses while it can
 	started, coldAt     time.Duration
 	cold, ejected       bool
 	coldTurn            time.Duration // no send while cold before this, where the share is under one
@@ -111,7 +112,8 @@
 	servers    map[string]*server
 	ring       []*server
 	turn       int
-	queued     int // requests in all queues
+	sharers    float64 // doors to which one server is near
+	queued     int     // requests in all queues
 	reqs       map[uint64]*request
 	customers  map[string]*customer
 	order      []*customer
@@ -226,6 +228,13 @@
 	return all[0]
 }
 
+// seatOrder is a server's place in the order of a round.
+func seatOrder(name string, round int) uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d %s", round, name)
+	return h.Sum64()
+}
+
 // counterName is the counter's name for a customer and a window, within 63 bits.
 func counterName(customer string, window int64) uint64 {
 	h := fnv.New64a()
