Keep a part of a thin ceiling in common, and lease no part of a unit

Lines at fault: grant (a lease of a part), ceiling, ceilingFills and pay (the even share).

Design: where an even share of the depth holds under 4 requests, three quarters of the ceiling are divided and the rest is lent on the counter, request by request, under a name for each short window. Any time touches at most two windows more than it is long, and the window is so short that their loans stay within the depth: nothing has to be corrected, and an emptied counter costs one window. A loan serves 100 ms past its window.

--- a/door.go
+++ b/door.go
@@ -49,6 +49,9 @@
 	fullBy      = 0.7                     // factor for a refusal or a broken connection
 	leaseAhead  = 1500 * time.Millisecond // demand that one lease should cover: few calls
 	atOnceRoom  = 0.5                     // attempts that other doors may have out beyond their mean
+	ceilOwn     = 0.75                    // part of a ceiling that doors divide, the rest being in common ...
+	ceilThin    = 4.0                     // ... since an even share of its depth holds fewer requests than these
+	loanLasts   = 100 * time.Millisecond  // a loan serves so long after its window: it mostly goes out at once
 	ceilWait    = 0.3                     // part of its time that a request waits for the ceiling's share
 	askAhead    = 300 * time.Millisecond  // demand the tokens left must cover, else the next is asked for
 	demandOver  = 2 * time.Second         // demand is averaged over this
@@ -58,7 +61,8 @@
 	mostAsks    = 32                      // counter calls out at once
 	standsFor   = 3.0                     // requests that one call of a thin customer stands for at most
 	callsLeast  = 0.02                    // part of the requests without tokens that call, at least
-	creditPart  = 1.0 / 3                 // part of a customer's burst that a door may let through unasked
+	creditPart  = 0.5                     // part of a customer's burst that a door may let through unasked ...
+	creditAll   = 20.0                    // ... and bursts that all its doors may
 	debtRank    = 0.5                     // how far back such a call stands that checks a customer in debt ...
 	retryRank   = 2.0                     // ... and a client's repeat, mostly of what lacked units
 	callTakes   = 0.5                     // part of its time-out that a call should take at most ...
@@ -142,7 +146,7 @@
 	r.c.demandAt = d.now
 	// A line for the ceiling must stay short, or each that still goes out of it is nearly late; and what is
 	// worth less leaves the room to what is worth more.
-	if fills := d.ceilingFills(r); fills > r.tau.Seconds()*ceilWait*cl.Worth/d.bestWorth {
+	if fills := d.ceilingFills(r); fills > d.ceilLine(r) && !d.mayBorrow(r) {
 		d.refuse(r, time.Duration(fills*float64(time.Second)))
 		return
 	}
@@ -182,9 +186,16 @@
 	c, p := r.c, &d.set.Plans[r.plan]
 	late := (d.now-r.at).Seconds()+d.latency(r, nil) >= r.tau.Seconds()*margin
 	full := p.AtOnce > 0 && c.live >= d.atOnce(r, p)
-	if short := r.units + c.ceilQueued - d.ceiling(c, p); full || short > 0 {
-		fills := short * c.doors / p.CeilingRate // seconds
-		if late || !full && p.OverWorth > p.OverCost && fills > r.tau.Seconds()*ceilWait {
+	if short := r.units + c.ceilQueued - d.ceiling(c, p); full || short > 0 && d.now >= r.lentUntil {
+		if !late && !full && d.mayBorrow(r) {
+			d.borrow(r)
+		}
+		if r.borrows {
+			return wait
+		}
+		fills := short / d.ceilRate(c, p) // seconds
+		if late || !full && (p.OverWorth > p.OverCost && fills > r.tau.Seconds()*ceilWait ||
+			r.lentAsked && fills > d.ceilLine(r)) {
 			return beyond
 		}
 		return wait
@@ -206,7 +217,9 @@
 		r.live = true
 		c.live++
 	}
-	d.hold(r)
+	if d.now >= r.lentUntil {
+		d.hold(r)
+	}
 	return paid
 }
 
@@ -251,7 +264,7 @@
 	c.spare, c.spareAt = min(max(c.spare, p.Burst/c.doors), c.spare+fill), d.now
 	least := 0.0
 	if d.set.Counter && d.callShare > callsFew {
-		least = min(0, r.units-p.Burst*creditPart)
+		least = min(0, r.units-p.Burst*min(creditPart, creditAll/c.doors))
 	}
 	calls := d.set.Counter && !r.asked && d.now >= c.emptyUntil && d.mayCall()
 	switch {
@@ -309,7 +322,7 @@
 func (d *Door) ask(c *customer, p *Plan, units float64) {
 	block := max(units, math.Floor(min(c.demand*leaseAhead.Seconds(), d.level(c, p)/c.doors)))
 	c.asking, d.counterAt = true, d.now
-	d.call(c, block, block/max(d.callShare, 1/standsFor)+c.owed, c.owed)
+	d.call(c, units, block, block/max(d.callShare, 1/standsFor)+c.owed, c.owed)
 	c.owed = 0
 }
 
@@ -326,7 +339,9 @@
 		took := (d.now - k.at).Seconds() / d.set.CounterTimeout.Seconds()
 		d.callShare = min(1, max(callsFew, d.callShare*(1+callsGrow*max(-1, 1-took/callTakes))))
 	}
-	if k.block > 0 {
+	if k.loan != nil {
+		d.lent(k, ev.Status == OK, ev.Total)
+	} else if k.block > 0 {
 		k.c.asking = false
 		if ev.Status == OK {
 			d.grant(k, ev.Total)
@@ -352,15 +367,18 @@
 		}
 	}
 	if held > most+p.Burst*overfull/max(callsFew, d.callShare) { // a correction is a call too
-		d.call(c, 0, held-most, 0)
+		d.call(c, 0, 0, held-most, 0)
 		held = most
 	}
-	got := max(0, min(k.block, held-k.owed))
+	got := min(k.block, held-k.owed)
+	if got < k.units { // a part that no request can be paid with is of use to other doors only
+		got = 0
+	}
 	if got < k.block {
 		if d.thin() == 0 && c.demand*leaseLife.Seconds() >= aheadLeast*k.block { // another call comes soon
 			c.owed += got + k.owed - k.amount
 		} else {
-			d.call(c, 0, got+k.owed-k.amount, 0)
+			d.call(c, 0, 0, got+k.owed-k.amount, 0)
 		}
 		k.amount = got + k.owed
 		pause := max(k.block-held, c.doors/emptyDoors) / p.Rate
@@ -379,11 +397,66 @@
 	if p.CeilingRate == 0 {
 		return math.Inf(1)
 	}
-	c.ceil += p.CeilingRate / c.doors * (d.now - c.ceilAt).Seconds()
-	c.ceil, c.ceilAt = min(c.ceil, p.CeilingDepth/c.doors), d.now
+	rate := d.ceilRate(c, p)
+	c.ceil += rate * (d.now - c.ceilAt).Seconds()
+	c.ceil, c.ceilAt = min(c.ceil, p.CeilingDepth*rate/p.CeilingRate), d.now
 	return c.ceil
 }
 
+// ceilRate is this door's own share of a ceiling's rate. Where an even share holds few requests, traffic is
+// never as even: then a part of the ceiling is kept in common (a departure: many doors).
+func (d *Door) ceilRate(c *customer, p *Plan) float64 {
+	if d.pooled(c, p) {
+		return p.CeilingRate / c.doors * ceilOwn
+	}
+	return p.CeilingRate / c.doors
+}
+
+func (d *Door) pooled(c *customer, p *Plan) bool {
+	return d.set.Counter && p.CeilingRate > 0 && p.CeilingDepth < ceilThin*c.doors*max(1, d.set.MaxUnits)
+}
+
+// ceilLine is how long a request waits for the ceiling's share at most, in seconds.
+func (d *Door) ceilLine(r *request) float64 {
+	return r.tau.Seconds() * ceilWait * d.set.Classes[r.class].Worth / d.bestWorth
+}
+
+// poolWindow is how long one number of the common part serves. What it lends may be sent on until loanLasts
+// after its end, so any time touches the loans of two more windows than it is long, at most: the window is so
+// short that these stay within the depth, and no overflow has to be told.
+func poolWindow(p *Plan) time.Duration {
+	full := time.Duration(p.CeilingDepth / p.CeilingRate * float64(time.Second))
+	return max(time.Millisecond, min(windowLen, (full-loanLasts)/2))
+}
+
+// mayBorrow says whether a request may ask for its units out of the common part of the ceiling.
+func (d *Door) mayBorrow(r *request) bool {
+	p := &d.set.Plans[r.plan]
+	return d.pooled(r.c, p) && !r.lentAsked && d.callShare > callsFew && d.mayCall() &&
+		r.c.poolDry != int64(d.now/poolWindow(p))+1 && (!r.retry || d.rng.Float64() < d.callShare)
+}
+
+// borrow asks for it.
+func (d *Door) borrow(r *request) {
+	w := poolWindow(&d.set.Plans[r.plan])
+	window := int64(d.now / w)
+	r.lentAsked, r.borrows = true, true
+	keep := 2*w + d.set.CounterTimeout
+	d.count(poolName(r.c.name, window), r.units, keep, &call{c: r.c, loan: r, window: window})
+}
+
+// lent takes the answer: while the window's total stays within its part, the units are the request's.
+func (d *Door) lent(k *call, ok bool, total float64) {
+	p := &d.set.Plans[k.c.plan]
+	w := poolWindow(p)
+	k.loan.borrows = false
+	if most := (1 - ceilOwn) * p.CeilingRate * w.Seconds(); ok && total <= most {
+		k.loan.lentUntil = time.Duration(k.window+1)*w + loanLasts
+	} else if ok {
+		k.c.poolDry = k.window + 1
+	}
+}
+
 // latency is the time an answer takes, by recent ones: the class's mean times the server's slowness.
 func (d *Door) latency(r *request, s *server) float64 {
 	if s != nil {
@@ -624,11 +697,12 @@
 		return
 	}
 	if len(r.attempts) == 0 {
-		if d.ceiling(r.c, p) < r.units {
+		if lent := d.now < r.lentUntil; !lent && d.ceiling(r.c, p) < r.units {
 			d.refuse(r, d.refill(r.c, p, r.units))
 			return
+		} else if !lent {
+			r.c.ceil -= r.units
 		}
-		r.c.ceil -= r.units
 	}
 	d.release(r)
 	a := &attempt{r: r, no: len(r.attempts), s: s, at: d.now, trial: trial, open: true}
--- a/size_test.go
+++ b/size_test.go
@@ -313,3 +313,76 @@
 		t.Errorf("%d of %d requests within the quotas were sent on", sent, asked)
 	}
 }
+
+// ceilingDay plays 20 s of a customer's requests through 13 doors, one in three through the first of them, and
+// returns how many went on and how far the ceiling's store fell at least.
+func ceilingDay(t *testing.T, set Settings, gap time.Duration) (sent int, least float64) {
+	const doors, step = 13, ms
+	set.Doors = doors
+	counter := &busyCounter{each: ms, totals: map[uint64]float64{}}
+	all, answers := make([]*Door, doors), make([]map[time.Duration][]Event, doors)
+	for i := range all {
+		set.Rank = i
+		all[i], answers[i] = open(t, set, backends(30)...), map[time.Duration][]Event{}
+	}
+	rng := rand.New(rand.NewPCG(3, 4))
+	p := set.Plans[1]
+	store, at := p.CeilingDepth, time.Duration(0)
+	least = store
+	for now := step; now < 20*time.Second; now += step {
+		due := -1
+		if now%gap == 0 {
+			due = max(0, rng.IntN(doors*3/2)-doors/2)
+		}
+		for i, d := range all {
+			evs := answers[i][now]
+			delete(answers[i], now)
+			if i == due {
+				evs = append(evs, ask(uint64(now), 0, 1))
+			}
+			if now%(20*ms) == 0 {
+				evs = append(evs, Timer{0})
+			}
+			if len(evs) == 0 {
+				continue
+			}
+			for _, a := range d.Step(now, evs) {
+				switch a := a.(type) {
+				case Send:
+					store = min(p.CeilingDepth, store+p.CeilingRate*(now-at).Seconds()) - 1
+					at, least = now, min(least, store)
+					sent++
+					answers[i][now+50*ms] = append(answers[i][now+50*ms], served(a, 0, 50*ms))
+				case Count:
+					done, ev := counter.call(now, set.CounterTimeout, a)
+					done = max(now+step, done.Truncate(step))
+					answers[i][done] = append(answers[i][done], ev)
+				}
+			}
+		}
+	}
+	return sent, least
+}
+
+// A ceiling whose even share is thin is kept in common in part: it is never passed, whatever comes, and a
+// customer who stays under it is served though one door has a third of the traffic.
+func TestThinCeilingIsKeptInCommon(t *testing.T) {
+	set := crowd(13)
+	set.Plans[1] = Plan{Rate: 8, Burst: 20, Factor: 1, OverWorth: 1, CeilingRate: 11, CeilingDepth: 27}
+	if sent, least := ceilingDay(t, set, 10*ms); least < 0 {
+		t.Errorf("at 100 requests a second, %d went on and the ceiling's store fell to %.1f", sent, least)
+	}
+	if sent, least := ceilingDay(t, set, 180*ms); sent < 100 || least < 0 {
+		t.Errorf("of 111 requests, at half the ceiling, %d went on; the store fell to %.1f", sent, least)
+	}
+}
+
+// What the store holds under a request's units stays there: at many doors such parts would add up.
+func TestNoPartOfAUnitIsLeased(t *testing.T) {
+	d := open(t, crowd(100), backends(8)...)
+	c := only[Count](d.Step(ms, []Event{ask(1, 0, 0)}))[0]
+	back := only[Count](d.Step(3*ms, []Event{Counted{c.Name, OK, 8.4}})) // of a burst of 8, 0.6 was left
+	if len(back) != 1 || back[0].Amount != -1 {
+		t.Errorf("given back: %v, want the whole unit", back)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -52,9 +52,12 @@
 	units       float64
 	at, tau     time.Duration // arrival; useful time left then
 	level       int
-	paid, live  bool   // paid by tokens; counted in customer.live
-	ceilHeld    bool   // holds units of the ceiling's share while queued
-	spot        *entry // place in a queue of on
+	paid, live  bool          // paid by tokens; counted in customer.live
+	lentAsked   bool          // has asked for units of the ceiling's common part ...
+	borrows     bool          // ... has no answer yet ...
+	lentUntil   time.Duration // ... and holds them until then
+	ceilHeld    bool          // holds units of the ceiling's share while queued
+	spot        *entry        // place in a queue of on
 	on          *server
 	attempts    []*attempt
 	out         int
@@ -85,6 +88,7 @@
 	ceil             float64
 	ceilAt           time.Duration
 	ceilQueued       float64
+	poolDry          int64 // 1 + the window whose common part of the ceiling is spent
 	live             int
 	waiting          []*request
 	listed           bool          // in Door.waiters
@@ -94,9 +98,11 @@
 // call is a counter call that is out; with no block it only puts the number right.
 type call struct {
 	c                   *customer
+	units               float64 // of the request that asks
 	block, amount, owed float64 // units asked for; what is added in all; of it, owed from before
 	window              int64
 	at                  time.Duration
+	loan                *request // wants units of the ceiling's common part, not of the quota
 }
 
 // Door decides for one front door.
@@ -210,11 +216,17 @@
 }
 
 // call adds an amount on the counter under the customer and the window.
-func (d *Door) call(c *customer, block, amount, owed float64) {
+func (d *Door) call(c *customer, units, block, amount, owed float64) {
 	window := int64(d.now / windowLen)
-	name := counterName(c.name, window)
-	d.asks[name] = append(d.asks[name], &call{c, block, amount, owed, window, d.now})
-	d.act(Count{name, amount, keepFor})
+	d.count(counterName(c.name, window), amount, keepFor,
+		&call{c: c, units: units, block: block, amount: amount, owed: owed, window: window})
+}
+
+// count calls the counter and keeps the call until its answer.
+func (d *Door) count(name uint64, amount float64, keep time.Duration, k *call) {
+	k.at = d.now
+	d.asks[name] = append(d.asks[name], k)
+	d.act(Count{name, amount, keep})
 }
 
 // answered finds the call that an answer belongs to: those for one name come in the order of the calls.
@@ -230,16 +242,21 @@
 }
 
 // seatOrder is a server's place in the order of a round.
-func seatOrder(name string, round int) uint64 {
-	h := fnv.New64a()
-	fmt.Fprintf(h, "%d %s", round, name)
-	return h.Sum64()
-}
+func seatOrder(name string, round int) uint64 { return hash("%d %s", round, name) }
 
 // counterName is the counter's name for a customer and a window, within 63 bits.
 func counterName(customer string, window int64) uint64 {
+	return hash("%s %d", customer, window)
+}
+
+// poolName is the counter's name for the common part of a customer's ceiling.
+func poolName(customer string, window int64) uint64 {
+	return hash("%s ceiling %d", customer, window)
+}
+
+func hash(format string, args ...any) uint64 {
 	h := fnv.New64a()
-	fmt.Fprintf(h, "%s %d", customer, window)
+	fmt.Fprintf(h, format, args...)
 	return h.Sum64() >> 1
 }
 
@@ -404,7 +421,7 @@
 			short += o.units
 		}
 	}
-	return max(0, short) * r.c.doors / p.CeilingRate
+	return max(0, short) / d.ceilRate(r.c, p)
 }
 
 // usable says whether new work may go to a server on the ordinary path.
