Take a backend's repeated refusals for its own state, not the fleet's overload

Line at fault: learn, where every Full weighs as fleetFull.

Design: only the first refusal in a row of a backend counts for the fleet, unless half of the near backends turn requests away. The backend's own slots and pauses learn from each, as before.

--- a/door.go
+++ b/door.go
@@ -766,7 +766,9 @@
 	class, took := a.r.class, max(1e-3, ev.Latency.Seconds()) // within a tick counts as a millisecond
 	ratio := min(took/d.base[class], 8)                       // one costly request says little of its server
 	news := min(ratio, fleetWorst)
-	if ev.Status == OK || ev.Status == Full || ev.Status == Timeout && !s.ejected {
+	// One that turns away again and again drains, or has no connection left: its own state, unless most do so.
+	all := ev.Status == Full && (!s.turned || d.mostTurn())
+	if ev.Status == OK || all || ev.Status == Timeout && !s.ejected {
 		if ev.Status == Full {
 			news = fleetFull
 		}
@@ -788,7 +790,7 @@
 			s.slots *= lateBy
 		}
 	case OK, Failed, Full:
-		s.heard, s.lost, s.fails = d.now, 0, 0
+		s.heard, s.lost, s.fails, s.turned = d.now, 0, 0, ev.Status == Full
 		if s.ejected {
 			d.restore(s, a.trial)
 		}
@@ -815,6 +817,20 @@
 	}
 }
 
+// mostTurn says whether half of the near servers have turned the last request away.
+func (d *Door) mostTurn() bool {
+	near, turned := 0, 0
+	for _, s := range d.ring {
+		if s.near {
+			near++
+			if s.turned {
+				turned++
+			}
+		}
+	}
+	return 2*turned >= near
+}
+
 // pace grows the slots while latency is well under tau*f and all are in use, and shrinks them when it is not.
 // It also keeps latency near that of an idle fleet (a departure: tau*f alone lets queues form inside the
 // servers, where no level counts and where work that nobody waits for any more goes on). That floor follows
--- a/size_test.go
+++ b/size_test.go
@@ -386,3 +386,50 @@
 		t.Errorf("given back: %v, want the whole unit", back)
 	}
 }
+
+// idleDay plays 20 s of five requests a second at a door of many, over backends that answer in 60 ms on average,
+// some of them turning all away, and returns how many requests were refused.
+func idleDay(t *testing.T, seed uint64, turns func(backend string) bool) (refused int) {
+	set := crowd(80)
+	d := open(t, set, backends(60)...)
+	rng := rand.New(rand.NewPCG(seed, 5))
+	due, tries := map[time.Duration][]Event{}, map[uint64]int{}
+	for now := ms; now < 20*time.Second; now += ms {
+		evs := due[now]
+		delete(due, now)
+		if now%(200*ms) == 0 {
+			evs = append(evs, ask(uint64(now), 0, 2))
+		}
+		if now%(20*ms) == 0 {
+			evs = append(evs, Timer{0})
+		}
+		if len(evs) == 0 {
+			continue
+		}
+		acts := d.Step(now, evs)
+		refused += len(only[Refuse](acts))
+		for _, s := range only[Send](acts) {
+			took := max(ms, time.Duration(rng.ExpFloat64()*60)*ms)
+			ev := served(s, tries[s.ID], took)
+			if turns(s.Backend) {
+				took = ms
+				ev = Outcome{ID: s.ID, Attempt: tries[s.ID], Backend: s.Backend, Status: Full, Latency: ms}
+			}
+			tries[s.ID]++
+			due[now+took] = append(due[now+took], ev)
+		}
+	}
+	return refused
+}
+
+// Some backends that drain, or have no connection left, turn all away: that is no overload of the fleet.
+func TestBackendsThatTurnAwayAreNoOverload(t *testing.T) {
+	idle, some := 0, 0
+	for seed := range uint64(20) {
+		idle += idleDay(t, seed, func(string) bool { return false })
+		some += idleDay(t, seed, func(name string) bool { return name[len(name)-1] < '2' })
+	}
+	if some > idle+300 {
+		t.Errorf("of 2000 requests, %d refused, and %d since 12 of 60 backends turn all away", idle, some)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -18,6 +18,7 @@
 	weight, slots, slow float64
 	listed              bool // in service, by the list
 	near                bool // one of those that this door uses while it can
+	turned              bool // it turned the last request away unseen
 	started, coldAt     time.Duration
 	cold, ejected       bool
 	coldTurn            time.Duration // no send while cold before this, where the share is under one
