--- a/door.go
+++ b/door.go
@@ -63,6 +63,7 @@
 	callsLeast  = 0.02                    // part of the requests without tokens that call, at least
 	creditPart  = 0.5                     // part of a customer's burst that a door may let through unasked ...
 	creditAll   = 20.0                    // ... and bursts that all its doors may
+	rankMost    = 5.0                     // ranks between the calls that save most and least
 	debtRank    = 0.5                     // how far back such a call stands that checks a customer in debt ...
 	retryRank   = 2.0                     // ... and a client's repeat, mostly of what lacked units
 	callTakes   = 0.5                     // part of its time-out that a call should take at most ...
@@ -94,7 +95,7 @@
 
 // prime sets what a door takes for granted before it has seen anything.
 func (d *Door) prime() {
-	d.fleet = 1
+	d.fleet, d.sharers = 1, float64(d.set.Doors)
 	if d.set.Counter {
 		d.callShare = 1
 	}
@@ -297,7 +298,10 @@
 // odds is the chance that a request calls the counter. Where not all can, the calls go where they save most:
 // to requests that cost much beyond their quota, of customers whose store holds few and is thus often empty.
 func (d *Door) odds(r *request) float64 {
-	rank := 1 + math.Log2(d.mostSaved/max(1e-9, d.saved(r.class, r.plan)))
+	rank := 1.0
+	if d.mostSaved > 0 {
+		rank += min(rankMost, math.Log2(d.mostSaved/d.saved(r.class, r.plan)))
+	}
 	if r.retry {
 		rank *= retryRank
 	} else if r.c.spare <= 0 {
@@ -412,8 +416,11 @@
 	return p.CeilingRate / c.doors
 }
 
+// pooled says whether a part of a ceiling is kept in common. Both parts must hold a request.
 func (d *Door) pooled(c *customer, p *Plan) bool {
-	return d.set.Counter && p.CeilingRate > 0 && p.CeilingDepth < ceilThin*c.doors*max(1, d.set.MaxUnits)
+	each, largest := p.CeilingDepth/c.doors, max(1, d.set.MaxUnits)
+	return d.set.Counter && p.CeilingRate > 0 && each < ceilThin*largest && each*ceilOwn >= largest &&
+		poolMost(p) >= largest
 }
 
 // ceilLine is how long a request waits for the ceiling's share at most, in seconds.
@@ -429,6 +436,9 @@
 	return max(time.Millisecond, min(windowLen, (full-loanLasts)/2))
 }
 
+// poolMost is what one window lends.
+func poolMost(p *Plan) float64 { return (1 - ceilOwn) * p.CeilingRate * poolWindow(p).Seconds() }
+
 // mayBorrow says whether a request may ask for its units out of the common part of the ceiling.
 func (d *Door) mayBorrow(r *request) bool {
 	p := &d.set.Plans[r.plan]
@@ -447,11 +457,10 @@
 
 // lent takes the answer: while the window's total stays within its part, the units are the request's.
 func (d *Door) lent(k *call, ok bool, total float64) {
-	p := &d.set.Plans[k.c.plan]
-	w := poolWindow(p)
+	p := &d.set.Plans[k.loan.plan]
 	k.loan.borrows = false
-	if most := (1 - ceilOwn) * p.CeilingRate * w.Seconds(); ok && total <= most {
-		k.loan.lentUntil = time.Duration(k.window+1)*w + loanLasts
+	if ok && total <= poolMost(p) {
+		k.loan.lentUntil = time.Duration(k.window+1)*poolWindow(p) + loanLasts
 	} else if ok {
 		k.c.poolDry = k.window + 1
 	}
--- a/size_test.go
+++ b/size_test.go
@@ -368,6 +368,7 @@
 // customer who stays under it is served though one door has a third of the traffic.
 func TestThinCeilingIsKeptInCommon(t *testing.T) {
 	set := crowd(13)
+	set.MaxUnits = 1
 	set.Plans[1] = Plan{Rate: 8, Burst: 20, Factor: 1, OverWorth: 1, CeilingRate: 11, CeilingDepth: 27}
 	if sent, least := ceilingDay(t, set, 10*ms); least < 0 {
 		t.Errorf("at 100 requests a second, %d went on and the ceiling's store fell to %.1f", sent, least)
@@ -377,6 +378,41 @@
 	}
 }
 
+// A ceiling so low that three quarters of an even share hold no request is divided as a whole.
+func TestLowCeilingIsDivided(t *testing.T) {
+	set := crowd(13)
+	set.MaxUnits = 1
+	set.Plans[1] = Plan{Rate: 100, Burst: 100, Factor: 1, OverCost: 0.5, CeilingRate: 13, CeilingDepth: 13}
+	d := open(t, set, backends(30)...)
+	acts := d.Step(2*time.Second, []Event{ask(1, 0, 1)})
+	if len(only[Send](acts)) != 1 || len(only[Count](acts)) != 0 {
+		t.Errorf("with a share of one unit, long filled: %v", acts)
+	}
+}
+
+// Where nothing is lost beyond a quota, no call saves more than another: each has the same chance.
+func TestCallsThatSaveNothing(t *testing.T) {
+	set := crowd(80)
+	set.Plans[0].OverCost, set.Plans[1].OverCost, set.Plans[3].OverCost = 0, 0, 0
+	d := open(t, set, backends(30)...)
+	for i := range 8 { // a few calls fail, so not all requests call from then on
+		r := ask(uint64(i), 0, 0)
+		r.Customer = fmt.Sprint("c", i)
+		for _, c := range only[Count](d.Step(time.Duration(i+1)*ms, []Event{r})) {
+			d.Step(time.Duration(i+1)*ms, []Event{Counted{Name: c.Name, Status: Full}})
+		}
+	}
+	calls := 0
+	for i := range 25 {
+		r := ask(uint64(100+i), 0, 0)
+		r.Customer = fmt.Sprint("d", i)
+		calls += len(only[Count](d.Step(time.Second+time.Duration(i)*ms, []Event{r})))
+	}
+	if calls == 0 || calls > 15 {
+		t.Errorf("%d calls for 25 requests at a counter that bears a part of them", calls)
+	}
+}
+
 // What the store holds under a request's units stays there: at many doors such parts would add up.
 func TestNoPartOfAUnitIsLeased(t *testing.T) {
 	d := open(t, crowd(100), backends(8)...)
--- a/state.go
+++ b/state.go
@@ -17,7 +17,7 @@
 	zone, cell          int
 	weight, slots, slow float64
 	listed              bool // in service, by the list
-	near                bool // one of those that this door uses while it can
+	near                bool // one of those that this door uses while it can: see seat
 	turned              bool // it turned the last request away unseen
 	started, coldAt     time.Duration
 	cold, ejected       bool
@@ -425,8 +425,8 @@
 	return max(0, short) / d.ceilRate(r.c, p)
 }
 
-// usable says whether new work may go to a server on the ordinary path.
-func (s *server) usable() bool { return s.listed && !s.ejected }
+// usable says whether new work may go to a server on the ordinary path. One new in the list has no slots yet.
+func (s *server) usable() bool { return s.listed && !s.ejected && s.slots > 0 }
 
 // timer takes the request's own timer, the tick and the list's.
 func (d *Door) timer(cookie uint64) {
