Read indented lists, and open a broken watch anew at once

And after a watch that was reset the next one came 200 to 500 ms later, while what the agent has counts as told, watch or no watch: a drain told in that gap could be seen after the 250 ms of grace. Looked at and left: the order of lists by epoch, and the move by SIGHUP, which were sound.

Lines at fault: watch (a Scanner's lines), run (pause doubled before its first use, up to 500 ms).

Design: a JSON decoder reads the watch, bounded by list; blank lines between lists are signs of life and kept from it. The next watch comes 50 ms after the last ended, later only where discovery says what makes no sense. Silence counts as death after 3 s, a sign and a half, instead of 4 s.

--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -9,6 +9,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"time"
 
 	"snowhall"
 	"snowhall/internal/wire"
@@ -26,6 +27,8 @@
 	Settings  snowhall.Settings
 	Transport wire.Transport
 	Known     Members // the list of backends as last had, maybe old
+
+	watchSilence time.Duration // 0: the usual
 }
 
 // ReadConfig reads the JSON form of a Config.
--- a/internal/front/discovery.go
+++ b/internal/front/discovery.go
@@ -1,8 +1,8 @@
 package front
 
 import (
-	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -16,12 +16,14 @@
 )
 
 const (
-	watchSilence = 4 * time.Second // a watch gives a sign every 2 s; one silent for so long is dead
-	rewatchFirst = 100 * time.Millisecond
-	rewatchMost  = 500 * time.Millisecond // the agent is on this machine and asking it costs nothing
+	watchSilence = 3 * time.Second        // a watch gives a sign every 2 s; one silent for so long is dead
+	rewatchAfter = 50 * time.Millisecond  // what the agent has counts as told: sends must end 250 ms later
+	rewatchMost  = 500 * time.Millisecond // where it only says what makes no sense
 	mostList     = 1 << 20                // bytes of a list
 )
 
+var errNonsense = errors.New("what discovery says makes no sense")
+
 // Members is a list of backends, or changes of it, in discovery's form.
 type Members struct {
 	Index     int64
@@ -52,13 +54,15 @@
 	index int64 // of the list as the loop has it
 	epoch int   // of the watch: what an older one still reads is passed over
 	stop  context.CancelFunc
+
+	silence time.Duration
 }
 
 func newDiscovery(f *Front) *discovery {
 	t := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 		ResponseHeaderTimeout: watchSilence, MaxConnsPerHost: 4}
 	return &discovery{f: f, http: &http.Client{Transport: t}, addr: f.cfg.Discovery, index: f.cfg.Known.Index,
-		stop: func() {}}
+		stop: func() {}, silence: cmp.Or(f.cfg.watchSilence, watchSilence)}
 }
 
 // follow begins to watch at an address, from the index known last, and leaves the watch before.
@@ -75,12 +79,13 @@
 
 // run watches the list until the context ends.
 func (d *discovery) run(ctx context.Context, addr string, index int64, epoch int) {
-	pause := rewatchFirst
+	pause := rewatchAfter
 	for ctx.Err() == nil {
-		from := index
 		err := d.watch(ctx, addr, &index, epoch)
-		if pause = min(2*pause, rewatchMost); index != from {
-			pause = rewatchFirst
+		if errors.Is(err, errNonsense) {
+			pause = min(2*pause, rewatchMost)
+		} else {
+			pause = rewatchAfter
 		}
 		d.f.log.Debug("watch ended", "error", err)
 		select {
@@ -99,19 +104,20 @@
 		return err
 	}
 	defer resp.Body.Close()
-	dead := time.AfterFunc(watchSilence, cancel) // protects against a machine that fell silent
-	defer dead.Stop()
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, mostList)
-	for lines.Scan() {
-		dead.Reset(watchSilence)
-		if len(bytes.TrimSpace(lines.Bytes())) == 0 {
-			continue
-		}
+	in := &watchReader{from: resp.Body, silence: d.silence, left: mostList, blank: true,
+		dead: time.AfterFunc(d.silence, cancel)} // protects against a machine that fell silent
+	defer in.dead.Stop()
+	lists := json.NewDecoder(in)
+	for {
 		var m Members
-		if err := json.Unmarshal(lines.Bytes(), &m); err != nil {
-			return fmt.Errorf("watch: %w", err)
+		if err := lists.Decode(&m); err != nil {
+			if in.err != nil { // the watch has ended, perhaps within a list
+				return fmt.Errorf("watch: %w", in.err)
+			}
+			return fmt.Errorf("watch: %w: %w", errNonsense, err)
 		}
+		rest, _ := io.ReadAll(lists.Buffered())
+		in.left, in.blank = mostList, len(bytes.TrimSpace(rest)) == 0
 		*index = m.Index
 		d.f.post(func() {
 			if epoch == d.epoch { // else the next watch brings it again, from the index that the loop had
@@ -119,14 +125,39 @@
 			}
 		})
 	}
-	return cmpErr(lines.Err(), io.EOF)
 }
 
-func cmpErr(err, otherwise error) error {
-	if err != nil {
-		return err
+// watchReader reads a watch. Any byte is a sign of life. Empty lines between lists are kept from the decoder, which
+// would gather them; a list may stand on several lines.
+type watchReader struct {
+	from    io.Reader
+	dead    *time.Timer
+	silence time.Duration
+	left    int   // bytes that the list may still have
+	blank   bool  // no list has begun
+	err     error // by which the watch ended
+}
+
+func (r *watchReader) Read(b []byte) (int, error) {
+	for {
+		n, err := r.from.Read(b)
+		if n > 0 {
+			r.dead.Reset(r.silence)
+		}
+		if r.blank {
+			n = copy(b, bytes.TrimLeft(b[:n], " \t\r\n"))
+			r.blank = n == 0
+		}
+		if r.left -= n; r.left < 0 {
+			return 0, errors.New("the list is too long")
+		}
+		if err != nil {
+			r.err = err
+		}
+		if n > 0 || err != nil {
+			return n, err
+		}
 	}
-	return otherwise
 }
 
 func (d *discovery) get(ctx context.Context, url string) (*http.Response, error) {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -163,6 +163,12 @@
 	return newPeer(w.t, nc)
 }
 
+// reset ends the connection by a reset.
+func (p *peer) reset() {
+	p.nc.(*net.TCPConn).SetLinger(0)
+	p.nc.Close()
+}
+
 func (p *peer) write(s string) {
 	p.t.Helper()
 	if _, err := io.WriteString(p.nc, s); err != nil {
