Answer what crosses a close, and see a client leave wherever its reader stands

A request read after a shutdown had begun, or on a connection just chosen for eviction, was dropped when the connection closed, though its last byte had come; one that lay unread made the kernel reset the connection, which can take the last answer with it; the listener was closed over connections that stood in its line. And a deadline over 3 s kept a shutdown longer than SIGKILL waits. Checked and sound: the order of arrived and gone for one request, answers to a client that has gone, the budget's accounts.

Lines at fault: read (leaving), closeAfterAnswers, turnAway, take, makeRoom, loop (ln.Close, give).

Design: bytes are read and noted under the client's lock, and a connection is closed only when no part of a command lies in the buffer or the socket. What comes during a shutdown on a connection that owes answers is refused. Where no command may be taken, the reader reads ahead into its bounded buffer, or throws away what follows an error. The listener's line is taken before it closes. What is open 3.6 s after SIGTERM is answered.

TestShutdownAnswersWhatWasTaken wanted a request that crossed to go unanswered: it now wants a refusal, and that nothing was sent on.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -24,7 +26,7 @@
 	lingerWithin  = 1500 * time.Millisecond // for the rest of what was refused
 	lingerBytes   = 64 << 20
 	mostLingering = 16
-	badPause      = 50 * time.Millisecond // before the next command is read, from the second bad one in a row on
+	badPause      = 50 * time.Millisecond // before the next command is taken, from the second bad one in a row on
 	badMost       = 16                    // bad commands in a row at which the connection is closed
 )
 
@@ -40,8 +42,10 @@
 type client struct {
 	cs    *clients
 	nc    net.Conn
+	raw   syscall.RawConn // nil where the connection has none
 	in    respReader
 	due   time.Time // of the command that is being read; zero: none has begun
+	ahead bool      // no further command may be taken, but it is read on to see the connection's end
 	timed bool      // a read deadline is set
 	bad   int       // commands in a row that could not be used
 
@@ -53,12 +57,21 @@
 	slots   []*slot    // in the order of the commands
 	out     []byte     // answers to be written
 	writing bool       // a goroutine writes
-	last    bool       // to be closed once all is answered
+	begun   bool       // bytes were read that are not yet a command
+	parked  bool       // the reader reads ahead until there is room
+	last    bool       // to be closed once all is answered: no more is sent on
+	refused bool       // what still comes is thrown away ...
+	lingers bool       // ... and all is answered
 	closed  bool
 }
 
 func newClient(cs *clients, nc net.Conn) *client {
 	c := &client{cs: cs, nc: nc, due: time.Now().Add(firstWithin)}
+	if sc, ok := nc.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			c.raw = raw
+		}
+	}
 	c.room = sync.NewCond(&c.mu)
 	c.in = respReader{from: c, memory: cs.memory}
 	c.idle.Store(int64(cs.f.now()))
@@ -80,16 +93,13 @@
 		case errors.Is(err, os.ErrDeadlineExceeded) && c.in.partial(): // else no line: it would cross a request
 			c.turnAway("-ERR the command has not come in time\r\n")
 			return
+		case errors.Is(err, os.ErrDeadlineExceeded) && !c.closeNow(): // its first command has come just now
+			c.due = time.Now().Add(commandWithin)
+			continue
 		case err != nil:
 			return
 		}
 		c.due = time.Time{}
-		// At a shutdown a connection that is always busy would never come to its end: what is read from then on
-		// counts as crossing the close, and the client sends it elsewhere.
-		if c.leaving() {
-			c.closeAfterAnswers()
-			return
-		}
 		if !c.command(m) {
 			return
 		}
@@ -99,6 +109,9 @@
 // Read reads from the socket for the respReader. A command has one deadline, however its bytes drip in, and so
 // has a new client's first.
 func (c *client) Read(b []byte) (int, error) {
+	if c.ahead {
+		return c.receive(b)
+	}
 	if c.due.IsZero() && c.in.partial() {
 		c.due = time.Now().Add(commandWithin)
 	}
@@ -109,7 +122,40 @@
 		c.nc.SetReadDeadline(time.Time{})
 		c.timed = false
 	}
-	return c.nc.Read(b)
+	c.mu.Lock()
+	c.begun = c.in.partial()
+	c.closeIfIdle()
+	c.mu.Unlock()
+	return c.receive(b)
+}
+
+// receive reads what has come. It takes the bytes and notes them under the lock, so that nobody who holds it takes
+// the connection for one that stands between two requests.
+func (c *client) receive(b []byte) (int, error) {
+	if c.raw == nil {
+		return c.nc.Read(b)
+	}
+	n := 0
+	var failed error
+	err := c.raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		n, failed = syscall.Read(int(fd), b)
+		for failed == syscall.EINTR {
+			n, failed = syscall.Read(int(fd), b)
+		}
+		c.begun = c.begun || n > 0
+		return failed != syscall.EAGAIN
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case failed != nil:
+		return 0, failed
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
 }
 
 // command handles one command and says whether to go on.
@@ -133,6 +179,9 @@
 			return c.unusable("-ERR " + err.Error() + "\r\n")
 		}
 		c.bad = 0
+		if c.leaving() { // it has been taken, so it is answered; the client can turn to another front door
+			return c.reply(string(busyAnswer(0)))
+		}
 		a.conn = c
 		cost := int64(len(m.Raw)) + askCost
 		if !c.cs.memory.take(cost) {
@@ -156,11 +205,26 @@
 	}
 	ok := c.reply(line)
 	if c.bad > 1 && ok {
-		time.Sleep(badPause)
+		ok = c.pause(badPause)
 	}
 	return ok
 }
 
+// pause waits, and says whether the connection stands.
+func (c *client) pause(d time.Duration) bool {
+	end := time.Now().Add(d)
+	c.nc.SetReadDeadline(end)
+	c.ahead, c.timed = true, true
+	defer func() { c.ahead = false }()
+	for c.in.room() > mostMessage-usualBuffer {
+		if err := c.in.fill(); err != nil {
+			return errors.Is(err, os.ErrDeadlineExceeded)
+		}
+	}
+	time.Sleep(time.Until(end))
+	return true
+}
+
 func (c *client) reply(line string) bool {
 	s := c.take(nil, 0)
 	c.answer(s, []byte(line))
@@ -173,18 +237,52 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for (len(c.slots) >= mostPipelined || len(c.out) > mostUnread) && !c.closed {
-		c.room.Wait()
+		c.await()
 	}
 	if c.closed {
 		c.cs.memory.give(cost)
 		return nil
 	}
+	return c.keep(a, cost)
+}
+
+// keep keeps a place. The caller holds mu.
+func (c *client) keep(a *ask, cost int64) *slot {
 	s := &slot{ask: a, cost: cost}
 	c.slots = append(c.slots, s)
 	c.idle.Store(0)
 	return s
 }
 
+// await waits for room. As far as the buffer may grow it reads on meanwhile: a client that leaves is to be seen, as
+// nothing may then be sent on for it. The caller holds mu.
+func (c *client) await() {
+	if c.in.room() <= 0 {
+		c.room.Wait()
+		return
+	}
+	c.nc.SetReadDeadline(time.Time{}) // under mu: roomMade sets another
+	c.parked, c.ahead, c.timed = true, true, true
+	c.mu.Unlock()
+	err := c.in.fill()
+	c.mu.Lock()
+	c.parked, c.ahead = false, false
+	switch {
+	case errors.Is(err, errNoMemory):
+		c.room.Wait()
+	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+		c.close()
+	}
+}
+
+// roomMade wakes whoever waits for room. The caller holds mu.
+func (c *client) roomMade() {
+	c.room.Broadcast()
+	if c.parked {
+		c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // answer fills a slot, once. What then stands at the head is written as far as the socket takes it, and the rest by
 // a goroutine of its own: a slow client must not hold up the caller.
 func (c *client) answer(s *slot, line []byte) {
@@ -203,7 +301,7 @@
 		c.cs.memory.force(int64(len(first.answer)) - first.cost)
 		c.slots[0] = nil
 		c.slots = c.slots[1:]
-		c.room.Broadcast()
+		c.roomMade()
 	}
 	if len(c.slots) == 0 {
 		c.idle.Store(int64(c.cs.f.now()))
@@ -240,7 +338,7 @@
 	for len(c.out) > 0 && !c.closed {
 		out := c.out
 		c.out = nil
-		c.room.Broadcast()
+		c.roomMade()
 		c.mu.Unlock()
 		c.nc.SetWriteDeadline(time.Now().Add(writeWithin))
 		_, err := c.nc.Write(out)
@@ -252,29 +350,20 @@
 	}
 	c.writing = false
 	c.nc.SetWriteDeadline(time.Time{})
-	c.room.Broadcast()
 	c.closeIfIdle()
 }
 
 // turnAway answers what can't be read and ends the connection. Closing it while the client still sends would
-// throw the error line away, so what comes is read for a while.
+// throw the error line away, so what comes is read for a while, and from the start, so that a client that leaves
+// is seen though answers before this one are still owed.
 func (c *client) turnAway(line string) {
-	c.answer(c.take(nil, 0), []byte(line))
+	c.nc.SetReadDeadline(time.Time{})
 	c.mu.Lock()
-	for (len(c.slots) > 0 || len(c.out) > 0 || c.writing) && !c.closed {
-		c.room.Wait()
-	}
-	closed := c.closed
+	c.refused = true
+	s := c.keep(nil, 0)
 	c.mu.Unlock()
-	half, ok := c.nc.(interface{ CloseWrite() error })
-	if closed || !ok {
-		return
-	}
-	defer c.cs.lingering.Add(-1)
-	if c.cs.lingering.Add(1) > mostLingering || half.CloseWrite() != nil {
-		return
-	}
-	c.nc.SetReadDeadline(time.Now().Add(lingerWithin))
+	c.in.release()
+	c.answer(s, []byte(line))
 	b := make([]byte, 32<<10)
 	for left := lingerBytes; left > 0; {
 		n, err := c.nc.Read(b)
@@ -283,33 +372,67 @@
 		}
 		left -= n
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.lingers && !c.closed {
+		c.room.Wait()
+	}
+}
+
+// linger closes the sending side once all is answered. The caller holds mu.
+func (c *client) linger() {
+	half, ok := c.nc.(interface{ CloseWrite() error })
+	if c.lingers = true; c.cs.lingering.Add(1) > mostLingering || !ok || half.CloseWrite() != nil {
+		c.close()
+		return
+	}
+	c.nc.SetReadDeadline(time.Now().Add(lingerWithin))
+	c.room.Broadcast()
 }
 
-// leaving says that the connection is to be closed after the answers that it owes.
+// leaving says that nothing more is sent on for the connection.
 func (c *client) leaving() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.last
 }
 
-// closeAfterAnswers closes the connection once all that it was asked is answered.
-func (c *client) closeAfterAnswers() {
+// finish makes what comes from now on be refused, and the connection end once it owes no answer.
+func (c *client) finish() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.last = true
 	c.closeIfIdle()
-	for !c.closed {
-		c.room.Wait()
-	}
 }
 
 // closeIfIdle closes a connection that is to go when nothing is owed on it. The caller holds mu.
 func (c *client) closeIfIdle() {
-	if c.last && len(c.slots) == 0 && len(c.out) == 0 && !c.writing {
+	switch {
+	case c.closed || c.owes():
+	case c.refused && !c.lingers:
+		c.linger()
+	case c.last && !c.refused && c.between():
 		c.close()
 	}
 }
 
+// closeNow closes a connection that stands between two requests, and says whether it has ended.
+func (c *client) closeNow() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed && !c.refused && !c.owes() && c.between() {
+		c.close()
+	}
+	return c.closed
+}
+
+// owes says whether an answer is still to be given or written. The caller holds mu.
+func (c *client) owes() bool { return len(c.slots) > 0 || len(c.out) > 0 || c.writing }
+
+// between says whether no part of a command has come. Else closing would not only cross that command: what lies
+// unread makes the kernel reset the connection, and answers on their way may be lost. The caller holds mu.
+func (c *client) between() bool { return !c.begun && quiet(c.nc) }
+
 // close ends the connection. The caller holds mu.
 func (c *client) close() {
 	if !c.closed {
@@ -332,6 +455,9 @@
 	}
 	c.cs.memory.give(int64(len(c.out)))
 	c.slots, c.out = nil, nil
+	if c.lingers {
+		c.cs.lingering.Add(-1)
+	}
 	c.mu.Unlock()
 	c.in.release()
 	c.cs.mu.Lock()
--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"os"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -17,6 +19,11 @@
 	crowdAfter  = 250 * time.Millisecond // with no place left at all, any one after this: the newcomer has a request
 	comeBack    = 100 * time.Millisecond // what a client is told for which there is no room
 	memoryShare = 0.25                   // of the memory limit, for what clients have sent and not yet read
+	freshFor    = 100 * time.Millisecond // a new connection brings its first request within this
+	backlogWait = 5 * time.Millisecond   // with no connection for so long, none is left that came before
+	backlogMost = 100 * time.Millisecond // ... and no longer are they taken
+	noPlaceFor  = 250 * time.Millisecond // for the rest of what came on a connection for which there is no place
+	noPlaceMost = 32                     // of so many clients' sockets one more may be held for that
 )
 
 // clients takes connections and reads requests from them.
@@ -25,7 +32,9 @@
 	most      int64
 	count     atomic.Int64
 	memory    *budget
-	lingering atomic.Int64 // connections on which only the rest of what was refused is awaited
+	lingering atomic.Int64  // connections on which only the rest of what was refused is awaited
+	noPlace   atomic.Int64  // ... of those that were never taken
+	accepted  chan struct{} // closed once no more are taken
 
 	mu  sync.Mutex
 	all map[*client]bool
@@ -40,25 +49,41 @@
 	if memory <= 0 {
 		memory = 32 << 20
 	}
-	return &clients{f: f, most: most, all: map[*client]bool{}, memory: newBudget(int64(memory))}
+	return &clients{f: f, most: most, all: map[*client]bool{}, memory: newBudget(int64(memory)),
+		accepted: make(chan struct{})}
 }
 
-// accept takes connections until the listener is closed.
+// accept takes connections until the listener is closed or has a deadline. Those that stand in its line then are
+// still taken: their clients hold them for open, and have sent their requests.
 func (cs *clients) accept(ln net.Listener) {
+	defer close(cs.accepted)
+	defer ln.Close()
+	var end time.Time
+	emptied := false
 	for {
 		nc, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			now := time.Now()
+			if end.IsZero() {
+				end = now.Add(backlogMost)
+			} else if emptied || now.After(end) {
+				return
+			}
+			emptied = true
+			ln.(deadliner).SetDeadline(now.Add(backlogWait))
+			continue
+		}
+		emptied = false
 		if err != nil { // out of descriptors, say: what was taken goes on meanwhile
 			cs.f.log.Warn("accept", "error", err)
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
 		if n := cs.count.Load(); float64(n) >= nearCap*float64(cs.most) && !cs.makeRoom(n >= cs.most) && n >= cs.most {
-			nc.SetWriteDeadline(time.Now().Add(time.Second))
-			nc.Write(busyAnswer(comeBack)) // nothing was read, so nothing has run
-			nc.Close()
+			go cs.sendAway(nc)
 			continue
 		}
 		c := newClient(cs, nc)
@@ -99,21 +124,47 @@
 	if best == nil {
 		return false
 	}
-	best.mu.Lock()
-	best.last = true
-	best.closeIfIdle()
-	best.mu.Unlock()
+	if !best.closeNow() { // a request has come on it just now
+		best.idle.Store(0)
+		return cs.makeRoom(full)
+	}
 	runtime.Gosched() // its reader gives the descriptor back
 	return true
 }
 
+// sendAway refuses a connection for which there is no place. What its client has sent is read for a moment, as it
+// would else lose the answer.
+func (cs *clients) sendAway(nc net.Conn) {
+	defer nc.Close()
+	defer cs.noPlace.Add(-1)
+	few := cs.noPlace.Add(1) <= cs.most/noPlaceMost
+	nc.SetDeadline(time.Now().Add(noPlaceFor))
+	nc.Write(busyAnswer(comeBack)) // nothing is taken, so nothing has run
+	if half, ok := nc.(interface{ CloseWrite() error }); few && ok && half.CloseWrite() == nil {
+		io.Copy(io.Discard, io.LimitReader(nc, lingerBytes))
+	}
+}
+
+// close ends the taking of connections.
+func (cs *clients) close(ln net.Listener) {
+	if d, ok := ln.(deadliner); !ok || d.SetDeadline(time.Now()) != nil {
+		ln.Close()
+	}
+}
+
+type deadliner interface{ SetDeadline(time.Time) error }
+
 // drain closes the connections that stand between two requests, and the others with their last answer. It
 // says whether none is left.
 func (cs *clients) drain() bool {
+	var all []*client
+	now := cs.f.now()
 	cs.mu.Lock()
-	all := make([]*client, 0, len(cs.all))
+	left := len(cs.all)
 	for c := range cs.all {
-		all = append(all, c)
+		if c.spoken.Load() || now-time.Duration(c.idle.Load()) >= freshFor {
+			all = append(all, c)
+		}
 	}
 	cs.mu.Unlock()
 	for _, c := range all { // all first, so that no client finds one closed and turns to another
@@ -122,9 +173,12 @@
 		c.mu.Unlock()
 	}
 	for _, c := range all {
-		c.mu.Lock()
-		c.closeIfIdle()
-		c.mu.Unlock()
+		c.finish()
+	}
+	select {
+	case <-cs.accepted:
+		return left == 0
+	default:
+		return false
 	}
-	return len(all) == 0
 }
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -18,6 +18,8 @@
 const (
 	acceptAfterTerm = 500 * time.Millisecond // new connections are still taken this long after SIGTERM
 	answerMargin    = 100 * time.Millisecond // beyond the longest deadline, for the last answers on their way
+	longestAtEnd    = 3 * time.Second        // a longer deadline counts as this: SIGKILL does not wait for it
+	flushWithin     = 50 * time.Millisecond  // for what is answered only then
 	sweepEvery      = time.Second
 )
 
@@ -121,7 +123,7 @@
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	term := ctx.Done()
-	var finish, give time.Duration // on the loop's clock; 0: not shutting down
+	var finish, give, end time.Duration // on the loop's clock; 0: not shutting down
 	for {
 		wait := f.timers.next(f.now())
 		if finish > 0 {
@@ -136,7 +138,10 @@
 			term = nil
 			f.log.Info("ending")
 			finish = f.now() + acceptAfterTerm
-			give = finish + f.longest() + answerMargin
+			give = finish + min(f.longest(), longestAtEnd) + answerMargin
+			end = give + flushWithin
+			f.timers.add(finish, func() { f.clients.close(ln) })
+			f.timers.add(give, f.giveUp)
 		}
 		for range len(f.tasks) { // all that is there goes into one Step
 			(<-f.tasks)()
@@ -144,8 +149,7 @@
 		f.timers.run(f.now())
 		f.step()
 		if now := f.now(); finish > 0 && now >= finish {
-			ln.Close()
-			if f.clients.drain() || now >= give {
+			if f.clients.drain() || now >= end {
 				f.log.Info("ended", "unanswered", len(f.requests))
 				return
 			}
@@ -162,6 +166,22 @@
 	return most
 }
 
+// giveUp answers what is still open when the time for it is over.
+func (f *Front) giveUp() {
+	for _, r := range f.requests {
+		if !r.ended {
+			f.abandon(r)
+		}
+	}
+}
+
+// abandon answers a request that the module has not answered.
+func (f *Front) abandon(r *request) {
+	f.leave(r)
+	f.tell(snowhall.Gone{ID: r.id})
+	r.ask.conn.answer(r.ask.slot, []byte("-ERR no answer in time\r\n"))
+}
+
 // step gives the Door what has happened and carries out what it wants, in order. An action may end at once and
 // so bring the next event.
 func (f *Front) step() {
@@ -229,9 +249,7 @@
 	// The module answers in time by its own timers. Should it not, the client still hears back in time.
 	r.overdue = f.timers.add(r.due, func() {
 		f.log.Error("the module left a request unanswered", "id", r.id)
-		f.leave(r)
-		f.tell(snowhall.Gone{ID: r.id})
-		a.conn.answer(a.slot, []byte("-ERR no answer in time\r\n"))
+		f.abandon(r)
 	})
 	f.tell(snowhall.Request{ID: r.id, Class: a.class, Plan: a.plan, Customer: a.customer,
 		Left: max(0, r.due-f.now()), Units: a.units, Doors: a.spread, Retry: a.retry})
--- a/internal/front/loop_test.go
+++ b/internal/front/loop_test.go
@@ -54,14 +54,24 @@
 	}
 }
 
+// ends waits until the front door has ended.
+func (w *world) ends() {
+	w.t.Helper()
+	select {
+	case <-w.f.done:
+	case <-time.After(patient):
+		w.t.Fatal("it does not end")
+	}
+}
+
 // After SIGTERM connections and requests are still taken for a while; all that was taken is answered; then
 // connections end between requests, and the front door too.
 func TestShutdownAnswersWhatWasTaken(t *testing.T) {
 	ln := listen(t)
 	w := start(t, []string{ln.Addr().String()})
-	early, quiet := w.dial(), w.dial()
-	quiet.command("PING")
-	quiet.wants("+PONG")
+	early, calm := w.dial(), w.dial()
+	calm.command("PING")
+	calm.wants("+PONG")
 	early.command("Q.ASK", customer, "1", list)
 	b := accept(t, ln)
 	b.message()
@@ -69,16 +79,17 @@
 	late := w.dial()
 	late.command("PING")
 	late.wants("+PONG")
-	quiet.wantsEnd()
+	calm.wantsEnd()
 	late.wantsEnd()
-	early.command("Q.ASK", customer, "2", list) // too late: it must not keep the connection open
+	early.command("Q.ASK", customer, "2", list) // too late: it is refused and does not keep the connection open
+	w.taken(2)
 	b.write("*1\r\n" + bulk("value"))
 	early.wants("value")
+	early.wants("-BUSY")
 	early.wantsEnd()
-	select {
-	case <-w.f.done:
-	case <-time.After(patient):
-		t.Error("it does not end")
+	w.ends()
+	if !quiet(b.nc) {
+		t.Error("it was sent on")
 	}
 }
 
--- a/internal/front/resp.go
+++ b/internal/front/resp.go
@@ -45,31 +45,43 @@
 			}
 			return m, nil
 		}
-		if r.start > 0 {
-			r.buf = r.buf[:copy(r.buf, r.buf[r.start:])]
-			r.start = 0
-		}
-		switch {
-		case len(r.buf) == 0 && cap(r.buf) != usualBuffer: // also gives back what a long message took
-			r.release()
-			r.buf = make([]byte, 0, usualBuffer)
-		case len(r.buf) >= mostMessage:
+		if len(r.buf)-r.start >= mostMessage {
 			return redcon.RESP{}, errMalformed
-		case len(r.buf) == cap(r.buf):
-			size := min(2*cap(r.buf), mostMessage)
-			if r.memory != nil && !r.memory.take(int64(size-cap(r.buf))) {
-				return redcon.RESP{}, errNoMemory
-			}
-			r.buf = append(make([]byte, 0, size), r.buf...)
 		}
-		n, err := r.from.Read(r.buf[len(r.buf):cap(r.buf)])
-		r.buf = r.buf[:len(r.buf)+n]
-		if n == 0 && err != nil {
+		if err := r.fill(); err != nil {
 			return redcon.RESP{}, err
 		}
 	}
 }
 
+// fill reads once, into a larger buffer if the usual one is full. What next returned before is no longer good.
+func (r *respReader) fill() error {
+	if r.start > 0 {
+		r.buf = r.buf[:copy(r.buf, r.buf[r.start:])]
+		r.start = 0
+	}
+	switch {
+	case len(r.buf) == 0 && cap(r.buf) != usualBuffer: // also gives back what a long message took
+		r.release()
+		r.buf = make([]byte, 0, usualBuffer)
+	case len(r.buf) == cap(r.buf):
+		size := min(2*cap(r.buf), mostMessage)
+		if r.memory != nil && !r.memory.take(int64(size-cap(r.buf))) {
+			return errNoMemory
+		}
+		r.buf = append(make([]byte, 0, size), r.buf...)
+	}
+	n, err := r.from.Read(r.buf[len(r.buf):cap(r.buf)])
+	r.buf = r.buf[:len(r.buf)+n]
+	if n == 0 {
+		return err
+	}
+	return nil
+}
+
+// room is how many bytes may still be read ahead of what is used.
+func (r *respReader) room() int { return mostMessage - (len(r.buf) - r.start) }
+
 // release gives the buffer back.
 func (r *respReader) release() {
 	if r.memory != nil && cap(r.buf) > usualBuffer {
