Keep a late second answer from the next request, and a late repeat from its backend

Found in review. An answered connection was used again at once, and only asked whether it is quiet then; a second copy of the answer that came a millisecond later was read as the answer to the next request. And a repeat of a keyed request that may have run was sent while repeats are dropped, but written when its connection came up, up to the dial's time-out later. Sound: answers after a time-out or a cancel (the connection is closed first), a drain while the connection is made.

Lines at fault: take (the idle connection used last), send in door.go and start (no bound on the writing).

Design: a connection rests for 10 ms after an answer. Send tells until when the attempt may go out, for repeats of keyed requests; the network code gives it back as Moot, and the module decides anew.

--- a/api.go
+++ b/api.go
@@ -205,6 +205,7 @@
 	ID      uint64
 	Backend string
 	Timeout time.Duration // the attempt ends as Timeout after this
+	Before  time.Duration // on the caller's clock: if it could not go out by then it ends as Moot; 0: no bound
 }
 
 // Refuse is the final answer: turned away, trying again is harmless.
--- a/door.go
+++ b/door.go
@@ -569,6 +569,14 @@
 		s.zone == r.ranOn.zone && (cl.Group == GroupZone || s.cell == r.ranOn.cell))
 }
 
+// repeatBefore is when a repeat must have gone out, where repeats are dropped for a while only.
+func (d *Door) repeatBefore(r *request) time.Duration {
+	if cl := &d.set.Classes[r.class]; r.ran && cl.Effect == Keyed {
+		return r.ranAt + cl.Window
+	}
+	return 0
+}
+
 // place queues a request at a server and releases what may go.
 func (d *Door) place(r *request) {
 	if t := d.trialServer(r); t != nil {
@@ -729,7 +737,7 @@
 	if s.cold {
 		s.recent = append(s.recent, d.now)
 	}
-	d.act(Send{r.id, s.name, limit})
+	d.act(Send{ID: r.id, Backend: s.name, Timeout: limit, Before: d.repeatBefore(r)})
 }
 
 // outcome takes the end of an attempt.
--- a/door_test.go
+++ b/door_test.go
@@ -638,3 +638,21 @@
 	}
 	f.Fuzz(func(t *testing.T, seed uint64) { ordeal(t, seed) })
 }
+
+// A repeat of a keyed request must go out while repeats are dropped, however late its connection comes up.
+func TestRepeatsEndWithTheWindow(t *testing.T) {
+	d := open(t, basic(), backends(4)...)
+	first := only[Send](d.Step(ms, []Event{ask(1, 1, 2)}))[0]
+	if first.Before != 0 {
+		t.Errorf("the first attempt is bounded: %v", first)
+	}
+	full := Outcome{ID: 1, Backend: first.Backend, Status: Full, Latency: ms}
+	again := only[Send](d.Step(10*ms, []Event{full}))
+	if len(again) != 1 || again[0].Before != 0 {
+		t.Fatalf("nothing has run, and it is bounded: %v", again)
+	}
+	again = only[Send](d.Step(30*ms, []Event{Outcome{ID: 1, Attempt: 1, Backend: again[0].Backend, Status: Failed}}))
+	if want := 10*ms + basic().Classes[1].Window; len(again) != 1 || again[0].Before != want {
+		t.Errorf("%v, want one bounded by %v", again, want)
+	}
+}
--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -19,6 +20,7 @@
 	backendShare = 0.28                   // of the sockets that may be held, for connections to backends
 	idleShare    = 0.6                    // of the time after which a backend closes an idle connection: closed here before
 	stalledAfter = 250 * time.Millisecond // an answer that has begun and then stops for so long has a wrong length
+	settleFor    = 10 * time.Millisecond  // a second answer comes up to 4 ms late: no other is asked for before
 )
 
 // attempt is one try of a request at a backend.
@@ -28,6 +30,7 @@
 	backend string
 	at      time.Duration
 	until   time.Duration
+	begin   time.Duration // nothing may be written from then on; 0: until
 	timeout *timer
 	conn    *conn
 	ended   bool
@@ -84,6 +87,8 @@
 	all   map[string]*backend
 	count int // connections, those being dialled too
 	most  int
+
+	settle time.Duration
 }
 
 func newBackends(f *Front) *backends {
@@ -91,7 +96,8 @@
 	if most <= 0 {
 		most = 400
 	}
-	return &backends{f: f, all: map[string]*backend{}, most: most}
+	return &backends{f: f, all: map[string]*backend{}, most: most,
+		settle: cmp.Or(f.cfg.settleFor, settleFor)}
 }
 
 // listed takes what discovery says of one backend.
@@ -243,10 +249,13 @@
 
 // take returns an idle connection or starts to dial one; nil where no socket is left.
 func (bs *backends) take(b *backend) *conn {
-	for n := len(b.idle); n > 0; n = len(b.idle) {
-		c := b.idle[n-1]
-		b.idle[n-1] = nil
-		b.idle = b.idle[:n-1]
+	settled := bs.f.now() - bs.settle
+	for i := len(b.idle) - 1; i >= 0; i-- {
+		c := b.idle[i]
+		if c.idleAt > settled {
+			continue
+		}
+		b.idle = slices.Delete(b.idle, i, i+1)
 		// What came since the last answer would be taken for the next one, and a connection that has ended would
 		// leave it open whether the command has run.
 		if c.broken.Load() || !quiet(c.nc) {
@@ -381,6 +390,9 @@
 func (c *conn) start() {
 	var b []byte
 	switch {
+	case c.attempt != nil && c.attempt.begin > 0 && c.f.now() >= c.attempt.begin:
+		c.f.backends.drop(c, snowhall.Moot) // the connection came up too late
+		return
 	case c.attempt != nil:
 		b = c.attempt.r.ask.forward(c.attempt.until - c.f.now())
 	case c.probe != nil:
--- a/internal/front/backends_test.go
+++ b/internal/front/backends_test.go
@@ -37,7 +37,7 @@
 // of a keyed request still comes from a backend.
 func TestFurtherAttempt(t *testing.T) {
 	ln := listen(t)
-	w := start(t, []string{ln.Addr().String()})
+	w := start(t, []string{ln.Addr().String()}, unsettled)
 	c := w.dial()
 	c.command("Q.DO", customer, "1", keyed, "body")
 	b := accept(t, ln)
@@ -406,3 +406,45 @@
 	}
 	return true
 }
+
+// A second answer that comes some milliseconds late must find no other request on its connection: one that was
+// answered just now is left alone, however busy the backend is, and serves again when it has stayed quiet.
+func TestLateSecondAnswerReachesNobody(t *testing.T) {
+	ln := listen(t)
+	f := idle(t, ln.Addr().String())
+	f.backends.settle = time.Hour
+	a, first := inUse(t, f, ln)
+	first.write("*1\r\n$3\r\none\r\n")
+	pump(t, f, func() bool { return a.ended })
+	a, second := inUse(t, f, ln) // a new connection
+	first.write("*1\r\n$3\r\none\r\n")
+	first.wantsEnd()
+	second.write("*1\r\n$3\r\ntwo\r\n")
+	pump(t, f, func() bool { return a.ended })
+	f.backends.settle = 0
+	pump(t, f, func() bool { return f.backends.count == 1 }) // the loop hears of the first one's end
+	b := f.backends.all["s-0"]
+	if a = try(t, f); f.backends.count != 1 || len(b.idle) != 0 {
+		t.Errorf("%d connections, %d of them idle", f.backends.count, len(b.idle))
+	}
+	if m := second.message(); m[0] != "Q.ASK" {
+		t.Errorf("got %q", m)
+	}
+}
+
+// A repeat whose connection comes up when repeats are no longer dropped is not written.
+func TestRepeatThatComesUpLateIsNotWritten(t *testing.T) {
+	ln := listen(t)
+	f := idle(t, ln.Addr().String())
+	a := try(t, f)
+	p := accept(t, ln) // it is up, but the loop has not heard of it
+	a.begin = f.now()
+	pump(t, f, func() bool { return a.ended })
+	wantOutcome(t, f, snowhall.Moot)
+	p.wantsEnd()
+	f.events = nil
+	f.send(a.r, snowhall.Send{ID: a.r.id, Backend: "s-0", Before: 5})
+	if got := a.r.attempts[1].begin; got != 5 {
+		t.Errorf("it may begin until %v", got)
+	}
+}
--- a/internal/front/clients_test.go
+++ b/internal/front/clients_test.go
@@ -12,7 +12,7 @@
 // is used again.
 func TestPassesCommandAndValueOn(t *testing.T) {
 	ln := listen(t)
-	w := start(t, []string{ln.Addr().String()})
+	w := start(t, []string{ln.Addr().String()}, unsettled)
 	c := w.dial()
 	c.command("PING")
 	c.wants("+PONG")
@@ -214,7 +214,7 @@
 // The id of a request that is open belongs to that request: another one gets an error and not its value.
 func TestOpenIDIsRefused(t *testing.T) {
 	ln := listen(t)
-	w := start(t, []string{ln.Addr().String()})
+	w := start(t, []string{ln.Addr().String()}, unsettled)
 	c, other := w.dial(), w.dial()
 	c.command("Q.ASK", customer, "1", list)
 	b := accept(t, ln)
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -28,7 +28,7 @@
 	Transport wire.Transport
 	Known     Members // the list of backends as last had, maybe old
 
-	watchSilence time.Duration // 0: the usual
+	watchSilence, settleFor time.Duration // 0: the usual
 }
 
 // ReadConfig reads the JSON form of a Config.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -71,6 +71,9 @@
 	return w
 }
 
+// unsettled lets a connection be used again at once.
+func unsettled(c *Config, t *testing.T) { c.settleFor = 1 }
+
 func config(t *testing.T, counter bool, dialUS int) *Config {
 	t.Helper()
 	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -292,7 +292,7 @@
 // send starts an attempt.
 func (f *Front) send(r *request, s snowhall.Send) {
 	now := f.now()
-	a := &attempt{r: r, no: len(r.attempts), backend: s.Backend, at: now, until: r.due}
+	a := &attempt{r: r, no: len(r.attempts), backend: s.Backend, at: now, until: r.due, begin: s.Before}
 	if s.Timeout > 0 {
 		a.until = min(a.until, now+s.Timeout)
 	}
