Name the setting that can't be used and end the start, where it was guessed before

Found in review: a class without an effect was taken for safe, so an unsafe one could run twice; a negative, infinite or broken number went through to the module (a counter time-out of 0 made its share of calls NaN); whole numbers were cut; an unknown word for yes or no meant no; classes of one name hid one another; few sockets were taken for no limit. A list that mixes objects with plain values lost the latter.

Lines at fault: pairs (float, int, bool), Settings, ReadTransport, flatten, newBackends and newClients.

Design: each reader says what it can't use with the setting's path; what may be absent still may. Limits that are negative end the start too. The fixtures of four tests left out an effect, a burst or the whole settings and now tell them.

--- a/cmd/drill/main_test.go
+++ b/cmd/drill/main_test.go
@@ -8,7 +8,7 @@
 
 func TestRun(t *testing.T) {
 	start := "PROVISION door/1 5 peers-total=1 limits.max-attempts=1 classes.count=1 classes.0.target-us=500000 " +
-		"classes.0.worth=1 tiers-of-service.count=1\n"
+		"classes.0.worth=1 classes.0.effect=safe tiers-of-service.count=1 tiers-of-service.0.name=p\n"
 	var out strings.Builder
 	err := run(strings.NewReader("CLOCK 1 1\nEOF_BATCH\nCLOCK 2 2\n"+start+"CENSUS 0 1\n"+
 		"BACKEND a:1 0 0 0 in_service 1\nVIEW door/1 cached 1 0\nACCEPT door/1 9 0 0 u:a 2000000\nSTOP door/1\nEOF_BATCH\n"), &out)
--- a/cmd/gapgap/main_test.go
+++ b/cmd/gapgap/main_test.go
@@ -15,7 +15,7 @@
 // A front door that can't start says why in one line; the address it is to listen on is no exception.
 func TestBadConfiguration(t *testing.T) {
 	good := `{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":{"peers-total":1,` +
-		`"limits":{"max-attempts":1,"dial-timeout-us":1000},"classes":[{"name":"a"}],"tiers-of-service":[{"name":"b"}]}}`
+		`"limits":{"max-attempts":1,"dial-timeout-us":1000},"classes":[{"name":"a","effect":"safe"}],"tiers-of-service":[{"name":"b"}]}}`
 	for _, bad := range []string{"{", strings.Replace(good, `"peers-total":1`, `"peers-total":0`, 1),
 		strings.Replace(good, "127.0.0.1:0", "127.0.0.1:none", 1), strings.Replace(good, "127.0.0.1:0", "nowhere", 1),
 		strings.Replace(good, "1000", "0", 1)} {
@@ -36,7 +36,8 @@
 // The environment goes before the file.
 func TestEnvironment(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "config.json")
-	text := `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1","settings":{"limits":{"dial-timeout-us":1000}}}`
+	text := `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1","settings":{"peers-total":1,` +
+		`"limits":{"max-attempts":1,"dial-timeout-us":1000},"classes":[{"name":"a","effect":"safe"}],"tiers-of-service":[{"name":"b"}]}}`
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -62,7 +63,7 @@
 	write := func(discovery string) {
 		t.Helper()
 		text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1","settings":{"peers-total":1,`+
-			`"limits":{"max-attempts":1,"dial-timeout-us":1000},"classes":[{"name":"a"}],"tiers-of-service":[{"name":"b"}]}}`, discovery)
+			`"limits":{"max-attempts":1,"dial-timeout-us":1000},"classes":[{"name":"a","effect":"safe"}],"tiers-of-service":[{"name":"b"}]}}`, discovery)
 		if err := os.WriteFile(file+".new", []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -92,8 +92,8 @@
 }
 
 func newBackends(f *Front) *backends {
-	most := int(float64(f.cfg.Sockets) * backendShare)
-	if most <= 0 {
+	most := max(1, int(float64(f.cfg.Sockets)*backendShare))
+	if f.cfg.Sockets == 0 {
 		most = 400
 	}
 	return &backends{f: f, all: map[string]*backend{}, most: most,
--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -41,8 +41,8 @@
 }
 
 func newClients(f *Front) *clients {
-	most := int64(float64(f.cfg.Sockets) * clientShare)
-	if most <= 0 {
+	most := max(1, int64(float64(f.cfg.Sockets)*clientShare))
+	if f.cfg.Sockets == 0 {
 		most = 400
 	}
 	memory := float64(f.cfg.MemoryMB<<20) * memoryShare
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -76,6 +76,9 @@
 			return fmt.Errorf("%s: %w", a.what, err)
 		}
 	}
+	if c.MemoryMB < 0 || c.Sockets < 0 {
+		return errors.New("limits: memory_mb or sockets is negative")
+	}
 	if c.Transport.DialTimeout <= 0 {
 		return errors.New("settings: limits.dial-timeout-us is not above 0")
 	}
@@ -101,7 +104,9 @@
 				plain = append(plain, plainText(e))
 			}
 		}
-		if objects > 0 {
+		if objects > 0 && len(plain) > 0 {
+			out[path+".count"] = "mixed" // which is no number
+		} else if objects > 0 {
 			out[path+".count"] = strconv.Itoa(objects)
 		} else {
 			out[path] = strings.Join(plain, ",")
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -15,32 +17,80 @@
 	err error
 }
 
+const (
+	mostInt    = 1e9                // a whole number of the settings
+	mostMicros = 10 * 365 * 86400e6 // a time of the settings
+	mostItems  = 1 << 12            // classes or plans
+)
+
+func (p *pairs) fail(k, why string) {
+	if p.err == nil {
+		p.err = fmt.Errorf("setting %s: %s", k, why)
+	}
+}
+
+// float reads a number; an absent one is 0. None of the settings can be below that.
 func (p *pairs) float(k string) float64 {
 	s, ok := p.m[k]
 	if !ok || s == "-" {
 		return 0
 	}
 	v, err := strconv.ParseFloat(s, 64)
-	if (err != nil || v != v) && p.err == nil {
-		p.err = fmt.Errorf("setting %s: not a number", k)
+	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+		p.fail(k, "not a number")
+		return 0
+	}
+	if v < 0 {
+		p.fail(k, "below 0")
 	}
 	return v
 }
 
-func (p *pairs) int(k string) int { return int(p.float(k)) }
+func (p *pairs) int(k string) int {
+	v := p.float(k)
+	if v != math.Trunc(v) || v > mostInt {
+		p.fail(k, "not a whole number within reason")
+		return 0
+	}
+	return int(v)
+}
 
 func (p *pairs) micros(k string) time.Duration {
-	return time.Duration(p.float(k) * float64(time.Microsecond))
+	v := p.float(k)
+	if v > mostMicros {
+		p.fail(k, "longer than ten years")
+		return 0
+	}
+	return time.Duration(v * float64(time.Microsecond))
 }
 
-func (p *pairs) bool(k string) bool { return p.m[k] == "true" || p.m[k] == "1" }
+// count reads the length of a list of objects.
+func (p *pairs) count(list string) int {
+	n := p.int(list + ".count")
+	if n < 1 || n > mostItems {
+		p.fail(list, fmt.Sprintf("%d entries, not 1 to %d", n, mostItems))
+		return 0
+	}
+	return n
+}
+
+func (p *pairs) bool(k string) bool {
+	return word(p, k, map[string]bool{"true": true, "1": true, "false": false, "0": false, "-": false})
+}
+
+// needs says that a setting has to be above 0 where another is.
+func (p *pairs) needs(ok bool, k, where string) {
+	if !ok {
+		p.fail(k, "not above 0, with "+where)
+	}
+}
 
 // word looks a setting's word up in a table; an absent one gives the zero value.
 func word[T any](p *pairs, k string, table map[string]T) T {
 	s, given := p.m[k]
 	v, ok := table[s]
-	if given && !ok && p.err == nil {
-		p.err = fmt.Errorf("setting %s: unknown word", k)
+	if given && !ok {
+		p.fail(k, "unknown word")
 	}
 	return v
 }
@@ -82,15 +132,31 @@
 		CounterTimeout: p.micros("specifics.counter-timeout-us"),
 		MaxUnits:       p.float("specifics.max-units"), TruedUp: p.bool("specifics.trued-up"),
 	}
-	for i := range p.int("classes.count") {
+	if set.Doors < 1 {
+		p.fail("peers-total", "under 1")
+	}
+	if set.Rank >= max(1, set.Doors) {
+		p.fail("rank", "not under peers-total")
+	}
+	if set.MaxAttempts < 1 {
+		p.fail("limits.max-attempts", "under 1")
+	}
+	if set.ColdFrom > 1 {
+		p.fail("obligations.cold-from", "over 1")
+	}
+	p.needs(!set.Counter || set.CounterTimeout > 0, "specifics.counter-timeout-us", "specifics.shared-counter")
+	for i := range p.count("classes") {
 		k := fmt.Sprintf("classes.%d.", i)
 		set.Classes = append(set.Classes, snowhall.Class{
 			Worth: p.float(k + "worth"), LateWorth: p.float(k + "late-worth"), Aim: p.micros(k + "target-us"),
 			GiveUp: p.micros(k + "give-up-us"), Effect: word(p, k+"effect", effects),
 			Group: word(p, k+"group", groups), Window: p.micros(k + "window-us"), Stream: p.bool(k + "stream"),
 		})
+		if m[k+"effect"] == "" { // to take it for safe would be to run it twice
+			p.fail(k+"effect", "missing")
+		}
 	}
-	for i := range p.int("tiers-of-service.count") {
+	for i := range p.count("tiers-of-service") {
 		k := fmt.Sprintf("tiers-of-service.%d.", i)
 		set.Plans = append(set.Plans, snowhall.Plan{
 			Rate: p.float(k + "units-per-s"), Burst: p.float(k + "most-at-once"), AtOnce: p.int(k + "at-once"),
@@ -98,6 +164,9 @@
 			OverCost: p.float(k + "over-cost"), CeilingRate: p.float(k + "never-over-rate"),
 			CeilingDepth: p.float(k + "cap-depth"),
 		})
+		plan := &set.Plans[i]
+		p.needs(plan.Rate == 0 || plan.Burst > 0, k+"most-at-once", "units-per-s")
+		p.needs(plan.CeilingRate == 0 || plan.CeilingDepth > 0, k+"cap-depth", "never-over-rate")
 	}
 	return set, p.err
 }
@@ -115,8 +184,16 @@
 func ReadTransport(m map[string]string) (Transport, error) {
 	p := &pairs{m: m}
 	names := func(list string) (all []string) {
-		for i := range p.int(list + ".count") {
-			all = append(all, m[fmt.Sprintf("%s.%d.name", list, i)])
+		for i := range p.count(list) {
+			k := fmt.Sprintf("%s.%d.name", list, i)
+			switch name := m[k]; {
+			case name == "":
+				p.fail(k, "missing")
+			case slices.Contains(all, name):
+				p.fail(k, "given twice")
+			default:
+				all = append(all, name)
+			}
 		}
 		return all
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -12,7 +12,8 @@
 
 const provision = "PROVISION door/3 51 peers-total=2 rank=0 resolution-us=2000 discovery=pushed new.key=x " +
 	"limits.max-attempts=3 limits.cancel=true classes.count=1 classes.0.effect=keyed classes.0.group=cell " +
-	"classes.0.target-us=500000 classes.0.worth=3.0 tiers-of-service.count=1 tiers-of-service.0.units-per-s=1.9\n"
+	"classes.0.target-us=500000 classes.0.worth=3.0 tiers-of-service.count=1 tiers-of-service.0.units-per-s=1.9 " +
+	"tiers-of-service.0.most-at-once=4\n"
 
 func read(text string) ([]*Batch, error) {
 	r := NewReader(strings.NewReader(text))
