Let fewer go on unasked where the calls of their plan find empty stores

Counted over the 273 doors: of some 15,000 sends in 5 s 7,000 to 8,500 went on credit, 20% of all units sent were beyond.

Lines at fault: spend, where credit looks at the customer's share alone and not at what calls find.

Design: a door keeps for each plan the part of its calls that found no units for their request. What goes on unasked is expected to be beyond as often; the share that may go falls with the price of what is beyond, by worth earned, to none at a quarter. Prices come from the settings; a plan whose excess costs nothing, or a silent counter, changes nothing.

--- a/door.go
+++ b/door.go
@@ -63,6 +63,8 @@
 	callsLeast  = 0.02                    // part of the requests without tokens that call, at least
 	creditPart  = 0.5                     // part of a customer's burst that a door may let through unasked ...
 	creditAll   = 20.0                    // ... and bursts that all its doors may
+	creditPrice = 0.25                    // price for what is beyond, by worth earned, at which all are asked
+	deniedGain  = 0.1                     // weight of a call in its plan's part of those that find nothing
 	rankMost    = 5.0                     // ranks between the calls that save most and least
 	debtRank    = 0.5                     // how far back such a call stands that checks a customer in debt ...
 	retryRank   = 2.0                     // ... and a client's repeat, mostly of what lacked units
@@ -287,7 +289,7 @@
 		r.asked = true
 		d.ask(c, p, r.units)
 		return wait
-	case d.now >= c.emptyUntil && c.spare > least && (!r.retry || !d.set.Counter):
+	case d.now >= c.emptyUntil && c.spare > least && (!r.retry || !d.set.Counter) && d.onCredit(r.plan):
 		c.spare -= r.units
 		r.unsure = true
 		return paid
@@ -295,6 +297,18 @@
 	return beyond
 }
 
+// onCredit decides whether a request may go on unasked. What the calls for its plan find tells how many of
+// those are beyond their quota: the more these cost for what the others earn, the fewer go on. A counter that
+// is silent tells nothing.
+func (d *Door) onCredit(plan int) bool {
+	if !d.set.Counter || d.callShare <= callsFew {
+		return true
+	}
+	p, over := &d.set.Plans[plan], d.denied[plan]
+	cost, earned := over*p.OverCost, 1-over+over*p.OverWorth
+	return cost <= 0 || d.rng.Float64()*earned*creditPrice >= cost
+}
+
 // odds is the chance that a request calls the counter. Where not all can, the calls go where they save most:
 // to requests that cost much beyond their quota, of customers whose store holds few and is thus often empty.
 func (d *Door) odds(r *request) float64 {
@@ -375,9 +389,11 @@
 		held = most
 	}
 	got := min(k.block, held-k.owed)
+	none := 0.0
 	if got < k.units { // a part that no request can be paid with is of use to other doors only
-		got = 0
+		got, none = 0, 1
 	}
+	d.denied[c.plan] += deniedGain * (none - d.denied[c.plan])
 	if got < k.block {
 		if d.thin() == 0 && c.demand*leaseLife.Seconds() >= aheadLeast*k.block { // another call comes soon
 			c.owed += got + k.owed - k.amount
--- a/size_test.go
+++ b/size_test.go
@@ -469,3 +469,49 @@
 		t.Errorf("of 2000 requests, %d refused, and %d since 12 of 60 backends turn all away", idle, some)
 	}
 }
+
+// What goes on unasked follows what the calls of its plan find: none where they find the stores empty and what is
+// beyond costs, all where it costs nothing or where the counter is silent.
+func TestCreditFollowsTheCalls(t *testing.T) {
+	set := basic()
+	set.Plans[2] = Plan{Rate: 2, Burst: 8, Factor: 1, OverWorth: 0.1}
+	let := func(plan int, found float64, share float64) int {
+		d := open(t, set, backends(8)...)
+		for i := range 60 {
+			c := &customer{name: fmt.Sprint(i), plan: plan, doors: 2}
+			d.asks[1] = append(d.asks[1], &call{c: c, units: 1, block: 1, amount: 1})
+			d.Step(ms, []Event{Counted{Name: 1, Status: OK, Total: 1 + set.Plans[plan].Burst - found}})
+		}
+		d.callShare = share
+		n := 0
+		for range 1000 {
+			if d.onCredit(plan) {
+				n++
+			}
+		}
+		return n
+	}
+	for _, c := range []struct {
+		plan         int
+		found, share float64
+		least, most  int
+	}{
+		{0, 0, 0.5, 0, 0}, {0, 5, 0.5, 1000, 1000}, // the stores are empty, and full
+		{2, 0, 0.5, 1000, 1000}, {0, 0, callsLeast, 1000, 1000}, // it costs nothing; nobody can be asked
+	} {
+		if n := let(c.plan, c.found, c.share); n < c.least || n > c.most {
+			t.Errorf("%+v: %d of 1000 went on", c, n)
+		}
+	}
+	d := open(t, set, backends(8)...)
+	d.denied[0] = 0.15
+	n := 0
+	for range 1000 {
+		if d.onCredit(0) {
+			n++
+		}
+	}
+	if n < 500 || n > 800 { // 1 - 0.15 x 0.5 / (0.85 x 0.25) = 0.65
+		t.Errorf("%d of 1000 went on, of which 150 may be beyond", n)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -129,6 +129,7 @@
 	stuck      []*request
 	asks       map[uint64][]*call // counter calls out, by name in their order
 	callShare  float64            // part of the requests without tokens that call the counter
+	denied     []float64          // by plan, part of the calls that found no units for their request
 	fleet      float64            // the last answers of all servers, in their classes' means
 	fleetAt    time.Duration
 	counterAt  time.Duration
@@ -174,6 +175,7 @@
 		}
 	}
 	d.floor = make([]float64, len(set.Classes))
+	d.denied = make([]float64, len(set.Plans))
 	d.mostLeft = make([]time.Duration, len(set.Classes))
 	d.base, d.answers = make([]float64, len(set.Classes)), make([]int, len(set.Classes))
 	return d, nil
