Keep a customer's state apart by plan, so that no request changes another plan's figures

Found in review: a door kept one record for each customer and gave it the plan of whatever request came last. One in a customer's name with another plan's name (bad clients send such) then settled the customer's call that was out by the wrong rate and burst, and both plans' units lay under one number of the counter. Ruled out: the customer's number of doors, which a request may change too; its share is bounded anew at every use, so at most that request gains by it.

Lines at fault: customer (c.plan = ev.Plan), grant (Plans[c.plan]), counterName, poolName.

Design: the record and the counter's names belong to customer and plan. Test: TestPlansOfOneCustomerAreApart.

--- a/door.go
+++ b/door.go
@@ -468,7 +468,7 @@
 	window := int64(d.now / w)
 	r.lentAsked, r.borrows = true, true
 	keep := 2*w + d.set.CounterTimeout
-	d.count(poolName(r.c.name, window), r.units, keep, &call{c: r.c, loan: r, window: window})
+	d.count(poolName(r.c.holder, window), r.units, keep, &call{c: r.c, loan: r, window: window})
 }
 
 // lent takes the answer: while the window's total stays within its part, the units are the request's.
--- a/door_test.go
+++ b/door_test.go
@@ -312,7 +312,7 @@
 		for _, s := range only[Send](d.Step(ms, []Event{ask(1, 0, 3)})) {
 			d.Step(51*ms, []Event{served(s, 0, 50*ms)})
 		}
-		c := d.customers["c"]
+		c := d.customers[holder{"c", 3}]
 		c.known, c.others, c.tokens, c.grantAt = true, others, 20, ms
 		var evs []Event
 		for i := range 10 {
--- a/size_test.go
+++ b/size_test.go
@@ -478,7 +478,7 @@
 	let := func(plan int, found float64, share float64) int {
 		d := open(t, set, backends(8)...)
 		for i := range 60 {
-			c := &customer{name: fmt.Sprint(i), plan: plan, doors: 2}
+			c := &customer{holder: holder{fmt.Sprint(i), plan}, doors: 2}
 			d.asks[1] = append(d.asks[1], &call{c: c, units: 1, block: 1, amount: 1})
 			d.Step(ms, []Event{Counted{Name: 1, Status: OK, Total: 1 + set.Plans[plan].Burst - found}})
 		}
@@ -515,3 +515,23 @@
 		t.Errorf("%d of 1000 went on, of which 150 may be beyond", n)
 	}
 }
+
+// A request in a customer's name that names another plan has a store of its own: the customer's call that is out
+// is settled by the customer's plan.
+func TestPlansOfOneCustomerAreApart(t *testing.T) {
+	d := open(t, basic(), backends(8)...)
+	c := drain(t, d, ms)
+	other := ask(50, 0, 1)
+	d.Step(2*ms, []Event{other})
+	mine, its := d.customers[holder{"c", 0}], d.customers[holder{"c", 1}]
+	if mine == nil || its == nil || mine.plan != 0 || its.plan != 1 {
+		t.Fatalf("%+v, %+v", mine, its)
+	}
+	d.Step(3*ms, []Event{Counted{c.Name, OK, c.Amount}})
+	if most := basic().Plans[0].Burst; !mine.known || mine.store > most || its.known {
+		t.Errorf("%+v, %+v", mine, its)
+	}
+	if counterName(mine.holder, 1) == counterName(its.holder, 1) {
+		t.Error("both lie under one name")
+	}
+}
--- a/state.go
+++ b/state.go
@@ -71,9 +71,14 @@
 	asked       bool // has called the counter
 }
 
+// holder names a quota: one customer's on one plan. A request that names another plan must not change its figures.
+type holder struct {
+	name string
+	plan int
+}
+
 type customer struct {
-	name             string
-	plan             int
+	holder
 	doors            float64
 	demand           float64 // units a second here
 	demandAt, usedAt time.Duration
@@ -122,7 +127,7 @@
 	sharers    float64 // doors to which one server is near
 	queued     int     // requests in all queues
 	reqs       map[uint64]*request
-	customers  map[string]*customer
+	customers  map[holder]*customer
 	order      []*customer
 	sweep      int
 	waiters    []*customer
@@ -163,7 +168,7 @@
 		return nil, errors.New("snowhall: FallMultiple or ColdFrom is negative")
 	}
 	d := &Door{set: set, rng: rand.New(rand.NewPCG(seed, 1)), servers: map[string]*server{},
-		reqs: map[uint64]*request{}, customers: map[string]*customer{}, asks: map[uint64][]*call{}}
+		reqs: map[uint64]*request{}, customers: map[holder]*customer{}, asks: map[uint64][]*call{}}
 	for i, c := range set.Classes {
 		if c.Worth < 0 || c.Aim < 0 || c.GiveUp < 0 || c.Window < 0 {
 			return nil, fmt.Errorf("snowhall: Classes[%d] has a negative value", i)
@@ -221,7 +226,7 @@
 // call adds an amount on the counter under the customer and the window.
 func (d *Door) call(c *customer, units, block, amount, owed float64) {
 	window := int64(d.now / windowLen)
-	d.count(counterName(c.name, window), amount, keepFor,
+	d.count(counterName(c.holder, window), amount, keepFor,
 		&call{c: c, units: units, block: block, amount: amount, owed: owed, window: window})
 }
 
@@ -247,14 +252,14 @@
 // seatOrder is a server's place in the order of a round.
 func seatOrder(name string, round int) uint64 { return hash("%d %s", round, name) }
 
-// counterName is the counter's name for a customer and a window, within 63 bits.
-func counterName(customer string, window int64) uint64 {
-	return hash("%s %d", customer, window)
+// counterName is the counter's name for a quota and a window, within 63 bits.
+func counterName(h holder, window int64) uint64 {
+	return hash("%s %d %d", h.name, h.plan, window)
 }
 
 // poolName is the counter's name for the common part of a customer's ceiling.
-func poolName(customer string, window int64) uint64 {
-	return hash("%s ceiling %d", customer, window)
+func poolName(h holder, window int64) uint64 {
+	return hash("%s %d ceiling %d", h.name, h.plan, window)
 }
 
 func hash(format string, args ...any) uint64 {
@@ -376,15 +381,16 @@
 }
 
 func (d *Door) customer(ev Request) *customer {
-	c, p := d.customers[ev.Customer], &d.set.Plans[ev.Plan]
+	h := holder{ev.Customer, ev.Plan}
+	c, p := d.customers[h], &d.set.Plans[ev.Plan]
 	n := float64(cmp.Or(max(0, ev.Doors), d.set.Doors))
 	if c == nil {
-		c = &customer{name: ev.Customer, plan: ev.Plan, doors: n, spare: p.Burst / n, spareAt: d.now,
+		c = &customer{holder: h, doors: n, spare: p.Burst / n, spareAt: d.now,
 			demandAt: d.now, ceilAt: d.begun, store: p.Burst, storeAt: d.now}
-		d.customers[c.name] = c
+		d.customers[h] = c
 		d.order = append(d.order, c)
 	}
-	c.plan, c.doors = ev.Plan, n
+	c.doors = n
 	return c
 }
 
@@ -457,7 +463,7 @@
 	for i := 0; i < 8 && len(d.order) > 0; i++ {
 		d.sweep = (d.sweep + 1) % len(d.order)
 		if c := d.order[d.sweep]; d.now-c.usedAt > forgetAfter && !c.asking && c.live == 0 {
-			delete(d.customers, c.name)
+			delete(d.customers, c.holder)
 			d.order[d.sweep] = d.order[len(d.order)-1]
 			d.order = d.order[:len(d.order)-1]
 		}
