Tell the module the true units of a request where quotas are settled afterwards

Ruled out: the settings, which were read, and the module, which takes Outcome.Units from the adapter.

Lines at fault: readReply, ended (no Units).

Design: the figure is read as the other one is, and passed over where it is more than the most units that a request may have.

--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -204,7 +204,7 @@
 	c.attempt, c.probe = nil, nil
 	bs.close(c) // first: the next attempt must not go out while this one still can be answered
 	if a != nil {
-		bs.f.ended(a, status, 0)
+		bs.f.ended(a, status, 0, 0)
 	}
 	if p != nil {
 		bs.probed(p, status)
@@ -216,12 +216,12 @@
 func (bs *backends) send(a *attempt) {
 	b := bs.all[a.backend]
 	if b == nil || !b.listed {
-		bs.f.ended(a, snowhall.Moot, 0)
+		bs.f.ended(a, snowhall.Moot, 0, 0)
 		return
 	}
 	c := bs.take(b)
 	if c == nil {
-		bs.f.ended(a, snowhall.Moot, 0) // for want of sockets here, which is no fault of the backend
+		bs.f.ended(a, snowhall.Moot, 0, 0) // for want of sockets here, which is no fault of the backend
 		return
 	}
 	c.attempt, a.conn = a, c
@@ -477,17 +477,22 @@
 	if r.status == snowhall.OK {
 		bs.f.answer(a.r, r.value) // this ends the request, and the outcome says so
 	}
-	bs.f.ended(a, r.status, r.used)
+	units := 0.0
+	if most := bs.f.cfg.Settings.MaxUnits; most == 0 || r.units <= most {
+		units = r.units
+	}
+	bs.f.ended(a, r.status, r.used, units)
 }
 
 // reply is an answer of a backend.
 type reply struct {
 	status  snowhall.Status
-	value   []byte // the value as a bulk string, to be passed on
-	used    int    // 1 + percent of the quota used; 0: not told
-	odd     bool   // it is no answer to a command ...
-	pong    bool   // ... but one to a probe
-	surplus bool   // more bytes came with it
+	value   []byte  // the value as a bulk string, to be passed on
+	used    int     // 1 + percent of the quota used; 0: not told
+	units   float64 // true units; 0: not told
+	odd     bool    // it is no answer to a command ...
+	pong    bool    // ... but one to a probe
+	surplus bool    // more bytes came with it
 }
 
 // readReply reads an answer: an array of the value, the figures on use and the load report, or an error line
@@ -519,6 +524,7 @@
 				r.status, r.odd, r.value = snowhall.OK, false, bytes.Clone(e.Raw)
 			} else if i == 1 && e.Type == redcon.Bulk {
 				r.used = used(e.Data)
+				r.units, _ = figure(e.Data, "cost=")
 			}
 			i++
 			return true
@@ -530,12 +536,20 @@
 
 // used finds the figure in a list such as used=37,cost=4, as the module wants it: 1 more; 0 if there is none.
 func used(list []byte) int {
+	if n, ok := figure(list, "used="); ok && n < 1e6 {
+		return int(n) + 1
+	}
+	return 0
+}
+
+// figure finds a number in a list of names and values.
+func figure(list []byte, name string) (float64, bool) {
 	for item := range bytes.SplitSeq(list, []byte{','}) {
-		if v, ok := bytes.CutPrefix(item, []byte("used=")); ok {
-			if n, ok := decimal(string(v)); ok && n < 1e6 {
-				return int(n) + 1
+		if v, ok := bytes.CutPrefix(item, []byte(name)); ok {
+			if n, ok := decimal(string(v)); ok {
+				return n, true
 			}
 		}
 	}
-	return 0
+	return 0, false
 }
--- a/internal/front/backends_test.go
+++ b/internal/front/backends_test.go
@@ -13,7 +13,7 @@
 
 func TestReadReply(t *testing.T) {
 	for text, want := range map[string]reply{
-		"*3\r\n$2\r\nhi\r\n$14\r\nused=37,cost=4\r\n$-1\r\n": {status: snowhall.OK, value: []byte("$2\r\nhi\r\n"), used: 38},
+		"*3\r\n$2\r\nhi\r\n$14\r\nused=37,cost=4\r\n$-1\r\n": {status: snowhall.OK, value: []byte("$2\r\nhi\r\n"), used: 38, units: 4},
 		"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n":                     {status: snowhall.OK, value: []byte("$0\r\n\r\n")},
 		"-ERR failed\r\n":                                    {status: snowhall.Failed},
 		"-ERR failed used=0 inflight=7\r\n":                  {status: snowhall.Failed, used: 1},
@@ -448,3 +448,18 @@
 		t.Errorf("it may begin until %v", got)
 	}
 }
+
+// The true units of a request come with its answer; a figure that none can have is not taken.
+func TestTrueUnitsAreTold(t *testing.T) {
+	for figures, want := range map[string]float64{"cost=1": 1, "used=3,cost=0.5": 0.5, "cost=2": 0, "cost=x": 0,
+		"cost=-1": 0, "cost=1e9": 0, "": 0} {
+		ln := listen(t)
+		f := idle(t, ln.Addr().String())
+		a, p := inUse(t, f, ln)
+		p.write("*3\r\n" + bulk("x") + bulk(figures) + "$-1\r\n")
+		pump(t, f, func() bool { return a.ended })
+		if got := outcomes(f); len(got) != 1 || got[0].Status != snowhall.OK || got[0].Units != want {
+			t.Errorf("%q: %+v", figures, got)
+		}
+	}
+}
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -299,14 +299,14 @@
 	r.attempts = append(r.attempts, a)
 	r.open++
 	if r.ended || a.until <= now || r.open > 1 && !f.cfg.Settings.SecondCopies {
-		f.ended(a, snowhall.Moot, 0)
+		f.ended(a, snowhall.Moot, 0, 0)
 		return
 	}
 	f.backends.send(a)
 }
 
 // ended gives the one outcome of an attempt.
-func (f *Front) ended(a *attempt, status snowhall.Status, used int) {
+func (f *Front) ended(a *attempt, status snowhall.Status, used int, units float64) {
 	if a.ended {
 		return
 	}
@@ -314,7 +314,7 @@
 	f.timers.stop(a.timeout)
 	a.r.open--
 	f.tell(snowhall.Outcome{ID: a.r.id, Attempt: a.no, Backend: a.backend, Status: status,
-		Latency: f.now() - a.at, Closed: a.r.ended, Used: used})
+		Latency: f.now() - a.at, Closed: a.r.ended, Used: used, Units: units})
 	f.forget(a.r)
 }
 
