--- a/cmd/gapgap/main_test.go
+++ b/cmd/gapgap/main_test.go
@@ -102,6 +102,10 @@
 	signal(syscall.SIGHUP)
 	wait("second")
 	signal(syscall.SIGTERM)
+	write(agent("third")) // it goes on following discovery while it ends, and a second SIGTERM does not cut it short
+	signal(syscall.SIGHUP)
+	wait("third")
+	signal(syscall.SIGTERM)
 	if err := <-ended; err != nil {
 		t.Error(err)
 	}
--- a/door_test.go
+++ b/door_test.go
@@ -656,3 +656,83 @@
 		t.Errorf("%v, want one bounded by %v", again, want)
 	}
 }
+
+// A request whose client has left is not sent on, wherever it waited: for the counter, for a backend to be known,
+// in a backend's queue, before a further attempt, for the ceiling's share to fill, for another attempt to end.
+func TestGoneIsNotSentOn(t *testing.T) {
+	var later []Event // what would release it
+	for name, wait := range map[string]func() *Door{
+		"counter": func() *Door {
+			d := open(t, basic(), backends(8)...)
+			c := drain(t, d, ms)
+			d.Step(2*ms, []Event{ask(99, 0, 0)})
+			later = []Event{Counted{c.Name, OK, c.Amount}}
+			return d
+		},
+		"no backend": func() *Door {
+			d := open(t, basic())
+			d.Step(2*ms, []Event{ask(99, 0, 2)})
+			later = []Event{List{Scope: Whole, Entries: backends(2)}}
+			return d
+		},
+		"queue": func() *Door {
+			set := basic()
+			set.Plans[0].Burst = 20
+			d := open(t, set, backends(1)...)
+			first := only[Send](d.Step(ms, []Event{ask(1, 0, 0), ask(2, 0, 0)}))
+			d.Step(2*ms, []Event{ask(99, 0, 0)})
+			for _, s := range first {
+				later = append(later, served(s, 0, 2*ms))
+			}
+			return d
+		},
+		"further attempt": func() *Door {
+			d := open(t, basic(), backends(1)...)
+			s := only[Send](d.Step(ms, []Event{ask(99, 0, 2)}))[0]
+			gone := List{Scope: Whole}
+			d.Step(2*ms, []Event{gone, Outcome{ID: 99, Backend: s.Backend, Status: ConnectFailed}})
+			later = []Event{List{Scope: Whole, Entries: backends(2)}}
+			return d
+		},
+		"ceiling": func() *Door {
+			set := basic()
+			set.Counter = false
+			d := open(t, set, backends(8)...)
+			d.Step(2*ms, []Event{ask(99, 1, 1)}) // a fresh door's share of the ceiling is empty
+			return d
+		},
+		"cap": func() *Door {
+			d := open(t, basic(), backends(8)...)
+			first := only[Send](d.Step(ms, []Event{ask(1, 0, 3), ask(2, 0, 3)}))
+			d.Step(2*ms, []Event{ask(99, 0, 3)})
+			for _, s := range first {
+				later = append(later, served(s, 0, 2*ms))
+			}
+			return d
+		},
+	} {
+		for _, leaves := range []bool{false, true} {
+			later = nil
+			d := wait()
+			if r := d.reqs[99]; r == nil || r.out > 0 {
+				t.Fatalf("%s: it does not wait", name)
+			}
+			if leaves {
+				d.Step(3*ms, []Event{Gone{99}})
+			}
+			sent := false
+			for now := 4 * ms; now < 400*ms; now += tick {
+				for _, s := range only[Send](d.Step(now, append(later, Timer{0}))) {
+					sent = sent || s.ID == 99
+				}
+				later = nil
+			}
+			if sent == leaves {
+				t.Errorf("%s: client left %v, sent on %v", name, leaves, sent)
+			}
+			if r := d.reqs[99]; leaves && r != nil {
+				t.Errorf("%s: it is kept", name)
+			}
+		}
+	}
+}
--- a/internal/front/closing_test.go
+++ b/internal/front/closing_test.go
@@ -314,3 +314,59 @@
 	f.clients.close(ln)
 	f.clients.accept(ln)
 }
+
+// until waits until the loop finds that something holds.
+func (w *world) until(holds func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(patient); ; time.Sleep(time.Millisecond) {
+		got := make(chan bool)
+		w.f.post(func() { got <- holds() })
+		if <-got {
+			return
+		}
+		if time.Now().After(end) {
+			w.t.Fatal("it never came to that")
+		}
+	}
+}
+
+// A request whose client leaves while the counter is asked for it is not sent on when the answer comes.
+func TestClientLeavesDuringACounterCall(t *testing.T) {
+	ln, counter := listen(t), listen(t)
+	w := start(t, []string{ln.Addr().String()}, func(c *Config, t *testing.T) {
+		c.Counter = counter.Addr().String()
+		c.Settings.Counter, c.Settings.CounterTimeout = true, patient
+		c.Settings.Plans[1].Burst = 1 // so the second request has to ask
+	})
+	metered := strings.Replace(list, "t=open", "t=starter", 1)
+	c := w.dial()
+	c.command("Q.ASK", customer, "1", metered)
+	b := accept(t, ln)
+	b.message()
+	b.write("*1\r\n" + bulk("value"))
+	c.wants("value")
+	c.command("Q.ASK", customer, "2", metered)
+	called := accept(t, counter)
+	if line := called.message(); !strings.HasPrefix(line[0], "add ") {
+		t.Fatalf("got %q", line)
+	}
+	c.nc.Close()
+	w.until(func() bool { return len(w.f.requests) == 0 })
+	called.write("ok 1\r\n")
+	go func() { // what is put right afterwards
+		for {
+			if _, err := called.try(); err != nil {
+				return
+			}
+			called.nc.Write([]byte("ok 1\r\n"))
+		}
+	}()
+	w.until(func() bool { return len(w.f.counter.open) == 0 && len(w.f.events) == 0 })
+	if !quiet(b.nc) {
+		t.Error("it was sent on")
+	}
+	ln.Close()
+	if w.until(func() bool { return w.f.backends.count <= 1 }); len(w.f.open) != 0 {
+		t.Error("its id is kept")
+	}
+}
