--- a/internal/front/closing_test.go
+++ b/internal/front/closing_test.go
@@ -370,3 +370,17 @@
 		t.Error("its id is kept")
 	}
 }
+
+// A shutdown leaves a new connection the time to bring its first request, and no longer.
+func TestNewConnectionHasTimeForItsRequest(t *testing.T) {
+	f := idle(t, freeAddr(t))
+	c, p := pair(t, f)
+	c.idle.Store(int64(f.now() + time.Hour)) // it came just now, however slow this test is
+	f.clients.drain()
+	if c.closed || c.leaving() {
+		t.Fatal("closed at once")
+	}
+	c.idle.Store(int64(f.now() - freshFor))
+	f.clients.drain()
+	p.wantsEnd()
+}
