Keep a close and a read of the same client from waiting for one another for ever

No crash, no limit, one door.

What is left is a loop that stands still without being busy.

Cause: client.go took the lock of a connection within RawConn.Read, which holds a reference on the descriptor. net.Conn.Close waits until no such reference is left, and everybody who closes a client holds the lock, the loop among them (answer, writeSome). Bytes or a reset that come in the moment of a close leave the reader waiting for the lock and the close for the reader. A probe that holds the lock, lets bytes come and closes hung for 20 s each time.

Change: within the read the lock is only tried for; a reader that does not get it leaves the read and waits outside. TestCloseCrossesARead hangs without this.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -130,32 +130,41 @@
 }
 
 // receive reads what has come. It takes the bytes and notes them under the lock, so that nobody who holds it takes
-// the connection for one that stands between two requests.
+// the connection for one that stands between two requests. A close waits until nobody is within a read of the socket,
+// and whoever closes holds the lock: so within a read the lock is only tried for, and waited for outside.
 func (c *client) receive(b []byte) (int, error) {
 	if c.raw == nil {
 		return c.nc.Read(b)
 	}
-	n := 0
-	var failed error
-	err := c.raw.Read(func(fd uintptr) bool {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		n, failed = syscall.Read(int(fd), b)
-		for failed == syscall.EINTR {
+	for {
+		n, held := 0, false
+		var failed error
+		err := c.raw.Read(func(fd uintptr) bool {
+			if held = !c.mu.TryLock(); held {
+				return true
+			}
+			defer c.mu.Unlock()
 			n, failed = syscall.Read(int(fd), b)
+			for failed == syscall.EINTR {
+				n, failed = syscall.Read(int(fd), b)
+			}
+			c.begun = c.begun || n > 0
+			return failed != syscall.EAGAIN
+		})
+		switch {
+		case err != nil:
+			return 0, err
+		case held:
+			c.mu.Lock()
+			c.mu.Unlock() // whoever held it is done
+		case failed != nil:
+			return 0, failed
+		case n == 0:
+			return 0, io.EOF
+		default:
+			return n, nil
 		}
-		c.begun = c.begun || n > 0
-		return failed != syscall.EAGAIN
-	})
-	switch {
-	case err != nil:
-		return 0, err
-	case failed != nil:
-		return 0, failed
-	case n == 0:
-		return 0, io.EOF
 	}
-	return n, nil
 }
 
 // command handles one command and says whether to go on.
