Run a few real doors beside hollow ones that share their fleet

A run starts real doors by deploy/balancer.toml's `run`, each in a process group of its own, and beside them decision modules in the same process as the stand-ins. All are told one list, count by the same numbers and send to the same model of the backends in real time, so what many doors do in sum meets the real ones too.

Measured at the real doors are bytes to and from discovery and the counter, what a door adds to a request, how soon a drain is in force, the time to ready with the list known and not, processor time, memory, descriptors and the connections that backends hold. A door that fails becomes a row that says so; every wait is bounded, and rows say "noisy" where this process was itself woken too late.

HdrHistogram is added for the quantiles.

--- /dev/null
+++ b/internal/mixed/hollow.go
@@ -0,0 +1,418 @@
+package mixed
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"snowhall"
+	"snowhall/internal/standin"
+)
+
+const (
+	counterHop  = 200 * time.Microsecond // from a hollow door's call of the counter to its answer
+	refusedHop  = 100 * time.Microsecond // ... and from an attempt to its being turned away
+	mostBehind  = time.Second            // a hollow door that is later than this with its requests leaves some out
+	mostAtATime = 64                     // requests that enter one Step
+)
+
+// hollow is a door without sockets: the module, fed in real time by the same list, numbers and model of the backends as
+// the real doors. Its goroutine owns it, but for what is atomic.
+type hollow struct {
+	w        *world
+	door     *snowhall.Door
+	traffic  *standin.Traffic
+	rank     int
+	index    int64 // of the list as this door has it
+	listed   []bool
+	events   []snowhall.Event
+	timers   alarms
+	requests map[uint64]*hollowRequest
+	lastID   uint64
+	left     int // requests still to come; below 0: without end
+	nextAt   time.Duration
+
+	ready     atomic.Bool // it has had its first Step
+	idle      atomic.Bool // no further request comes and none is open
+	steps     atomic.Int64
+	skipped   atomic.Int64 // requests left out
+	abandoned atomic.Int64 // requests that the module left unanswered
+}
+
+type hollowRequest struct {
+	id       uint64
+	q        *standin.Request
+	due      time.Duration
+	overdue  *alarm
+	attempts []*hollowAttempt
+	open     int
+	ended    bool
+}
+
+type hollowAttempt struct {
+	r       *hollowRequest
+	no      int
+	backend string
+	at      time.Duration
+	result  *alarm
+	ended   bool
+}
+
+func newHollow(w *world, rank, requests int) (*hollow, error) {
+	set, err := newSettings(rank, w.doors(), w.o.Zones).module()
+	if err != nil {
+		return nil, err
+	}
+	door, err := snowhall.New(set, w.o.Seed+uint64(rank))
+	if err != nil {
+		return nil, err
+	}
+	if requests == 0 {
+		requests = -1
+	}
+	return &hollow{w: w, door: door, rank: rank, traffic: standin.NewTraffic(w.traffic, rank), left: requests,
+		listed: make([]bool, w.o.Backends), requests: map[uint64]*hollowRequest{}}, nil
+}
+
+// run serves until the context ends. Requests come from when begin is closed until halt is.
+func (h *hollow) run(ctx context.Context, begin, halt <-chan struct{}) {
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	h.take(h.w.catalog.Whole(), snowhall.Cached)
+	_, wake := h.w.catalog.Since(h.index)
+	for {
+		if !h.step(ctx) {
+			return
+		}
+		h.ready.Store(true)
+		h.idle.Store(h.left == 0 && len(h.requests) == 0)
+		alarm.Reset(h.timers.wait(h.w.now()))
+		select {
+		case <-ctx.Done():
+			return
+		case <-begin:
+			begin = nil
+			h.nextAt = h.w.now()
+			h.arrive()
+		case <-halt:
+			halt = nil
+			h.left = 0
+		case <-wake:
+			var m standin.Members
+			if m, wake = h.w.catalog.Since(h.index); m.Snapshot {
+				h.take(m, snowhall.Whole)
+			} else if len(m.Endpoints) > 0 {
+				h.take(m, snowhall.Delta)
+			}
+		case <-alarm.C:
+		}
+		now := h.w.now()
+		if late := h.timers.late(now); late > 0 {
+			h.w.hollowLate.record(late)
+		}
+		h.timers.run(now)
+	}
+}
+
+// step gives the Door what has happened and carries out what it wants, as few at a time as the run may use cores. It
+// returns false at the context's end.
+func (h *hollow) step(ctx context.Context) bool {
+	if len(h.events) == 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case h.w.cores <- struct{}{}:
+		defer func() { <-h.w.cores }()
+	case <-ctx.Done():
+		return false
+	}
+	for len(h.events) > 0 && ctx.Err() == nil {
+		events := h.events
+		h.events = nil
+		h.steps.Add(1)
+		for _, a := range h.door.Step(h.w.now(), events) {
+			h.act(a)
+		}
+	}
+	return ctx.Err() == nil
+}
+
+func (h *hollow) tell(ev snowhall.Event) { h.events = append(h.events, ev) }
+
+func (h *hollow) act(a snowhall.Action) {
+	switch a := a.(type) {
+	case snowhall.Send:
+		if r := h.requests[a.ID]; r != nil {
+			h.send(r, a)
+		}
+	case snowhall.Cancel:
+		if r := h.requests[a.ID]; r != nil && a.Attempt < len(r.attempts) {
+			h.end(r.attempts[a.Attempt], snowhall.Cancelled)
+		}
+	case snowhall.Refuse:
+		h.answer(h.requests[a.ID], standin.Refused)
+	case snowhall.Fail:
+		h.answer(h.requests[a.ID], standin.Failed)
+	case snowhall.Probe:
+		h.after(refusedHop, func() { h.tell(snowhall.Probed{Backend: a.Backend, Status: snowhall.OK}) })
+	case snowhall.Count:
+		total, ok := h.w.numbers.Add(time.Now(), counterName(a.Name), a.Amount, a.Keep)
+		ev := snowhall.Counted{Name: a.Name, Status: snowhall.Full}
+		if ok {
+			ev = snowhall.Counted{Name: a.Name, Status: snowhall.OK, Total: total}
+		}
+		h.after(counterHop, func() { h.tell(ev) })
+	case snowhall.SetTimer:
+		h.timers.add(a.At, func() { h.tell(snowhall.Timer{Cookie: a.Cookie}) })
+	case snowhall.Fetch:
+		h.after(refusedHop, func() { h.take(h.w.catalog.Whole(), snowhall.Whole) })
+	}
+}
+
+func (h *hollow) after(pause time.Duration, do func()) { h.timers.add(h.w.now()+pause, do) }
+
+// take hands a list or its changes on.
+func (h *hollow) take(m standin.Members, scope snowhall.Scope) {
+	h.index = m.Index
+	if scope != snowhall.Delta {
+		clear(h.listed)
+	}
+	list := snowhall.List{Scope: scope, Entries: make([]snowhall.Backend, 0, len(m.Endpoints))}
+	for _, e := range m.Endpoints {
+		i := h.w.spot[e.Name]
+		state := states[e.Status]
+		h.listed[i] = state == snowhall.InService
+		list.Entries = append(list.Entries, snowhall.Backend{Name: e.Name, Zone: i % h.w.o.Zones, Cell: e.Group,
+			State: state, Weight: e.Weight, Started: time.Duration(e.SinceMS) * time.Millisecond})
+	}
+	h.tell(list)
+}
+
+var states = map[string]snowhall.State{standin.Serving: snowhall.InService, standin.Draining: snowhall.Terminating,
+	standin.Deleted: snowhall.Terminated}
+
+// arrive takes the requests in that are due, and plans for the next.
+func (h *hollow) arrive() {
+	now := h.w.now()
+	for n := 0; h.left != 0; n++ {
+		if n >= mostAtATime {
+			h.timers.add(now, h.arrive)
+			return
+		}
+		gap, q := h.traffic.Next()
+		h.nextAt += gap
+		if h.nextAt > now {
+			h.timers.add(h.nextAt, func() {
+				if h.left != 0 {
+					h.arrived(q)
+					h.arrive()
+				}
+			})
+			return
+		}
+		h.arrived(q)
+	}
+}
+
+func (h *hollow) arrived(q *standin.Request) {
+	h.left--
+	now := h.w.now()
+	if now-h.nextAt > mostBehind {
+		h.nextAt = now
+		h.skipped.Add(1)
+		return
+	}
+	h.w.arrivals.Add(1)
+	h.lastID++
+	r := &hollowRequest{id: h.lastID, q: q, due: now + q.Wait}
+	h.requests[r.id] = r
+	r.overdue = h.timers.add(r.due, func() {
+		h.abandoned.Add(1)
+		h.leave(r, standin.Failed)
+		h.tell(snowhall.Gone{ID: r.id})
+	})
+	h.tell(snowhall.Request{ID: r.id, Class: q.Class, Plan: q.Plan, Customer: q.Customer, Left: q.Wait, Units: 1,
+		Doors: q.Spread})
+}
+
+// send starts an attempt, with the same conditions as a real door's.
+func (h *hollow) send(r *hollowRequest, s snowhall.Send) {
+	wall, now := time.Now(), h.w.now()
+	a := &hollowAttempt{r: r, no: len(r.attempts), backend: s.Backend, at: now}
+	until := r.due
+	if s.Timeout > 0 {
+		until = min(until, now+s.Timeout)
+	}
+	r.attempts = append(r.attempts, a)
+	r.open++
+	i, known := h.w.spot[s.Backend]
+	if r.ended || until <= now || r.open > 1 || s.Before > 0 && now >= s.Before || !known || !h.listed[i] {
+		h.end(a, snowhall.Moot)
+		return
+	}
+	h.w.reached(i, h.rank, wall)
+	done, ok := h.w.model.Begin(i, wall)
+	if !ok {
+		a.result = h.timers.add(now+refusedHop, func() { h.end(a, snowhall.Full) })
+		return
+	}
+	h.w.ledger.Ran(r.q.ID)
+	if took := done.Sub(wall); now+took < until {
+		a.result = h.timers.add(now+took, func() {
+			h.w.ledger.Took(r.q.ID, took)
+			h.answer(r, standin.Served)
+			h.end(a, snowhall.OK)
+		})
+		return
+	}
+	a.result = h.timers.add(until, func() { h.end(a, snowhall.Timeout) })
+}
+
+// end gives the one outcome of an attempt.
+func (h *hollow) end(a *hollowAttempt, status snowhall.Status) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	h.timers.stop(a.result)
+	a.r.open--
+	h.tell(snowhall.Outcome{ID: a.r.id, Attempt: a.no, Backend: a.backend, Status: status,
+		Latency: h.w.now() - a.at, Closed: a.r.ended})
+	h.forget(a.r)
+}
+
+// answer gives a request its final answer, once. The attempt that it comes from ends after it, by the caller.
+func (h *hollow) answer(r *hollowRequest, how standin.Ending) {
+	if r != nil && !r.ended {
+		h.leave(r, how)
+	}
+}
+
+// leave ends a request and calls off what is still out. With second copies not allowed nothing but the attempt that
+// was served can be out at a Served.
+func (h *hollow) leave(r *hollowRequest, how standin.Ending) {
+	r.ended = true
+	h.timers.stop(r.overdue)
+	h.w.ledger.Ended(r.q, how)
+	if how != standin.Served {
+		for _, a := range r.attempts {
+			h.end(a, snowhall.Cancelled)
+		}
+	}
+	h.forget(r)
+}
+
+func (h *hollow) forget(r *hollowRequest) {
+	if r.ended && r.open == 0 {
+		delete(h.requests, r.id)
+	}
+}
+
+// alarm is a task for later.
+type alarm struct {
+	at   time.Duration
+	do   func()
+	spot int // in the heap; -1: no longer there
+}
+
+// alarms is a heap of tasks, the first that is due on top.
+type alarms struct{ all alarmHeap }
+
+func (t *alarms) add(at time.Duration, do func()) *alarm {
+	e := &alarm{at: at, do: do}
+	heap.Push(&t.all, e)
+	return e
+}
+
+// stop takes a task back; nil or one that has run is passed over.
+func (t *alarms) stop(e *alarm) {
+	if e == nil {
+		return
+	}
+	if e.do = nil; e.spot >= 0 {
+		heap.Remove(&t.all, e.spot)
+	}
+}
+
+// wait is the time until the first task.
+func (t *alarms) wait(now time.Duration) time.Duration {
+	if len(t.all) == 0 {
+		return time.Hour
+	}
+	return max(0, t.all[0].at-now)
+}
+
+// late is how long the first task has been due.
+func (t *alarms) late(now time.Duration) time.Duration {
+	if len(t.all) == 0 {
+		return 0
+	}
+	return now - t.all[0].at
+}
+
+// run runs the tasks that are due. What they add is left for the next time.
+func (t *alarms) run(now time.Duration) {
+	var due []*alarm
+	for len(t.all) > 0 && t.all[0].at <= now {
+		due = append(due, heap.Pop(&t.all).(*alarm))
+	}
+	for _, e := range due {
+		if e.do != nil {
+			e.do()
+		}
+	}
+}
+
+type alarmHeap []*alarm
+
+func (h alarmHeap) Len() int           { return len(h) }
+func (h alarmHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h alarmHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].spot, h[j].spot = i, j
+}
+func (h *alarmHeap) Push(e any) {
+	e.(*alarm).spot = len(*h)
+	*h = append(*h, e.(*alarm))
+}
+func (h *alarmHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	e.spot = -1
+	return e
+}
+
+// histogram is a histogram of times in microseconds, safe for concurrent use.
+type histogram struct {
+	mu  sync.Mutex
+	all *hdrhistogram.Histogram
+}
+
+func newHistogram() *histogram {
+	return &histogram{all: hdrhistogram.New(1, time.Minute.Microseconds(), 3)}
+}
+
+func (h *histogram) record(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.all.RecordValue(min(max(1, d.Microseconds()), time.Minute.Microseconds()))
+}
+
+// at returns the value at a quantile in percent, in microseconds, and how many values there are.
+func (h *histogram) at(percent float64) (float64, int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return float64(h.all.ValueAtQuantile(percent)), h.all.TotalCount()
+}
+
+func (h *histogram) reset() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.all.Reset()
+}
--- /dev/null
+++ b/internal/mixed/world.go
@@ -0,0 +1,378 @@
+package mixed
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"snowhall/internal/standin"
+)
+
+const (
+	mostReal      = 32
+	mostAlone     = 1024             // backends with a listener of their own
+	sharing       = 16               // listeners that further ones share
+	mostConns     = 256              // of the clients to one door
+	hollowCores   = 2                // hollow doors that compute at once
+	hollowReady   = 30 * time.Second // for all hollow doors to take the list
+	spread        = 8                // doors of each customer's set
+	tick          = 5 * time.Millisecond
+	noisyAbove    = 5 * time.Millisecond // own scheduling delay at p99
+	warmUp        = time.Second
+	drainTime     = 700 * time.Millisecond // from a drain to the next thing
+	readWithin    = 5 * time.Second        // ... though a door may take so long to read that it drains
+	betweenDrains = 100 * time.Millisecond // from a backend's being put back to the next drain
+	answerSlack   = 3 * time.Second        // that clients wait beyond their own time
+	zeroAddr      = "127.0.0.3:0"
+)
+
+// world is a run with all that stands round its doors.
+type world struct {
+	o        Options
+	report   *Report
+	dir      string // of the real doors' files
+	command  string
+	begun    time.Time
+	spot     map[string]int // number of a backend, by its name
+	members  []standin.Member
+	catalog  *standin.Catalog
+	numbers  *standin.Numbers
+	model    *standin.Model
+	ledger   *standin.Ledger
+	backends *standin.Backends
+	traffic  standin.TrafficConfig
+	cores    chan struct{}
+	real     []*realDoor
+	hollow   []*hollow
+
+	hollowLate, late, added *histogram
+	arrivals                atomic.Int64 // requests, at all doors
+	measuring               atomic.Bool
+
+	mu    sync.Mutex
+	seen  []int  // commands of real doors, by backend with a listener of its own
+	drain *drain // the one that is being watched
+	told  []standin.Told
+	read  []time.Duration // from a change's being sent to its being read, by door
+}
+
+// drain is what comes to a drained backend.
+type drain struct {
+	backend int
+	at      time.Time
+	last    map[int]time.Time // by door
+	count   int
+}
+
+// realDoor is a real door and what is its own.
+type realDoor struct {
+	w        *world
+	rank     int
+	addr     string
+	agent    *standin.Agent
+	counter  *standin.Counter
+	clients  *standin.Clients
+	proc     *process
+	failed   bool
+	answered atomic.Int64 // requests that ended while it was measured
+	added    *histogram
+}
+
+func newWorld(o Options) (w *world, err error) {
+	w = &world{o: o, begun: time.Now(), spot: make(map[string]int, o.Backends), numbers: standin.NewNumbers(o.CounterRate),
+		ledger: standin.NewLedger(), cores: make(chan struct{}, hollowCores),
+		model:      standin.NewModel(o.Backends, o.Slots, o.Service, 10*o.Service, o.Seed),
+		hollowLate: newHistogram(), late: newHistogram(), added: newHistogram(),
+		report: &Report{RealDoors: o.RealDoors, HollowDoors: o.HollowDoors, Backends: o.Backends, Customers: o.Customers,
+			Rate: o.Rate, Seed: o.Seed}}
+	defer func() {
+		if err != nil {
+			w.close()
+		}
+	}()
+	if w.command, err = runCommand(o.Root); err != nil && o.RealDoors > 0 {
+		return nil, err
+	}
+	if w.dir, err = os.MkdirTemp("", "mixed-"); err != nil {
+		return nil, err
+	}
+	alone := min(o.Backends, mostAlone)
+	w.seen = make([]int, alone)
+	if w.backends, err = standin.StartBackends("127.0.0.2", w.model, w.ledger, alone, sharing, connIdle,
+		func(i int, id string, first time.Time) { w.reached(i, standin.DoorOf(id), first) }); err != nil {
+		return nil, err
+	}
+	zones := zoneNames(o.Zones)
+	for i := range o.Backends {
+		name := fmt.Sprintf("s-%08x", uint32(i)*0x9e3779b1)
+		w.spot[name] = i
+		w.members = append(w.members, standin.Member{Name: name, Address: w.backends.Addr(i), Zone: zones[i%o.Zones],
+			Type: "std", Group: i / o.Zones % 64, Status: standin.Serving, Weight: 1})
+	}
+	w.catalog = standin.NewCatalog(w.members)
+	w.traffic = standin.TrafficConfig{Doors: w.doors(), Spread: min(w.doors(), spread), Customers: o.Customers, Plans: plans,
+		Classes: classes, Rate: o.Rate, Seed: o.Seed}
+	for rank := range o.RealDoors {
+		d := &realDoor{w: w, rank: rank, added: newHistogram()}
+		w.real = append(w.real, d)
+		if err = d.open(); err != nil {
+			return nil, err
+		}
+	}
+	for i := range o.HollowDoors {
+		h, err := newHollow(w, o.RealDoors+i, o.Requests)
+		if err != nil {
+			return nil, err
+		}
+		w.hollow = append(w.hollow, h)
+	}
+	return w, nil
+}
+
+func (w *world) doors() int { return w.o.RealDoors + w.o.HollowDoors }
+
+// now is the hollow doors' clock: like a real door's, the Unix time at the start and what has passed since.
+func (w *world) now() time.Duration {
+	return time.Duration(w.begun.UnixNano()) + time.Since(w.begun)
+}
+
+func (w *world) progress(format string, args ...any) {
+	fmt.Fprintf(w.o.Progress, "%6.1f s  %s\n", time.Since(w.begun).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func counterName(name uint64) string { return strconv.FormatUint(name, 10) }
+
+// reached notes that an attempt of a door has come to a backend.
+func (w *world) reached(backend, rank int, first time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if backend < len(w.seen) && rank < w.o.RealDoors {
+		w.seen[backend]++
+	}
+	if d := w.drain; d != nil && d.backend == backend && first.After(d.at) {
+		d.last[rank] = first
+		d.count++
+	}
+}
+
+// open starts what stands round a real door, and writes its files.
+func (d *realDoor) open() (err error) {
+	if d.agent, err = standin.StartAgent(zeroAddr, d.w.catalog, d.tell); err != nil {
+		return err
+	}
+	if d.counter, err = standin.StartCounter(zeroAddr, d.w.numbers); err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", "127.0.0.4:0") // a port that is free now; nothing else of this run listens on the host
+	if err != nil {
+		return err
+	}
+	d.addr = ln.Addr().String()
+	ln.Close()
+	d.clients = standin.NewClients(d.addr, mostConns, answerSlack)
+	bare, err := json.Marshal(standin.Members{Snapshot: true, Endpoints: []standin.Member{}})
+	if err != nil {
+		return err
+	}
+	for file, known := range map[string][]byte{d.file(true): d.w.catalog.WholeJSON(), d.file(false): bare} {
+		text, err := json.Marshal(doorConfig{Name: d.name(), Listen: d.addr, Discovery: d.agent.Addr(),
+			Seed: fmt.Sprintf("%016x", d.w.o.Seed+uint64(d.rank)), Counter: d.counter.Addr(), Known: known,
+			Limits:   doorLimits{Cores: 1, MemoryMB: d.w.o.MemoryMB, Sockets: 1024},
+			Settings: newSettings(d.rank, d.w.doors(), d.w.o.Zones).nested()})
+		if err == nil {
+			err = os.WriteFile(file, text, 0o600)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *realDoor) name() string { return fmt.Sprint("n", d.rank) }
+
+// file names the configuration with the whole list as known, or with none.
+func (d *realDoor) file(known bool) string {
+	return filepath.Join(d.w.dir, fmt.Sprintf("%s-%v.json", d.name(), known))
+}
+
+// start starts the door and waits until it is ready. It returns the time from its start to its +PONG.
+func (d *realDoor) start(ctx context.Context, known bool) (time.Duration, error) {
+	env := []string{"PATH=" + os.Getenv("PATH"), "TMPDIR=" + d.w.dir, "NODE_NAME=" + d.name(), "NODE_LISTEN=" + d.addr,
+		"NODE_DISCOVERY=" + d.agent.Addr(), "NODE_CONFIG=" + d.file(known)}
+	var err error
+	if d.proc, err = startProcess(d.w.o.Root, d.w.command, env); err != nil {
+		return 0, err
+	}
+	d.w.report.pids = append(d.w.report.pids, d.proc.pid())
+	end := d.proc.started.Add(d.w.o.ReadyWithin)
+	said := ""
+	for ctx.Err() == nil && time.Now().Before(end) {
+		if d.proc.ended() {
+			return 0, fmt.Errorf("%s ended before it was ready: %v: %s", d.name(), d.proc.cmd.ProcessState, d.proc.log.last())
+		}
+		ask, stop := context.WithDeadline(ctx, end)
+		answer, err := d.clients.Ping(ask)
+		stop()
+		if answer == "+PONG" {
+			return time.Since(d.proc.started), nil
+		}
+		if said = answer; err != nil {
+			said = err.Error()
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	if err := ctx.Err(); err != nil {
+		return 0, err
+	}
+	return 0, fmt.Errorf("%s is not ready %v after its start: %s; its log ends with: %s", d.name(), d.w.o.ReadyWithin, said,
+		d.proc.log.last())
+}
+
+// tell takes note of a change of the list that the door was sent, and finds out when it was read.
+func (d *realDoor) tell(t standin.Told) {
+	d.w.mu.Lock()
+	watched := d.w.drain != nil && !t.Whole && t.Entries == 1 && len(d.w.told) < 1<<12
+	if watched {
+		d.w.told = append(d.w.told, t)
+	}
+	d.w.mu.Unlock()
+	if !watched {
+		return
+	}
+	for time.Since(t.At) < readWithin {
+		n, known, err := unread(t.Peer, t.Own)
+		if err != nil || !known {
+			return
+		}
+		if n == 0 {
+			d.w.mu.Lock()
+			d.w.read = append(d.w.read, time.Since(t.At))
+			d.w.mu.Unlock()
+			return
+		}
+		time.Sleep(200 * time.Microsecond)
+	}
+}
+
+// drive sends the door its requests from now on, until halt is closed or there are no more.
+func (d *realDoor) drive(ctx context.Context, halt <-chan struct{}) {
+	traffic := standin.NewTraffic(d.w.traffic, d.rank)
+	next := time.Now()
+	places := make(chan struct{}, mostConns)
+	var out sync.WaitGroup
+	defer out.Wait()
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	for n := 0; d.w.o.Requests == 0 || n < d.w.o.Requests; n++ {
+		gap, q := traffic.Next()
+		next = next.Add(gap)
+		alarm.Reset(time.Until(next))
+		select {
+		case <-alarm.C:
+		case <-halt:
+			return
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case places <- struct{}{}:
+		case <-halt:
+			return
+		case <-ctx.Done():
+			return
+		}
+		d.w.arrivals.Add(1)
+		out.Go(func() {
+			defer func() { <-places }()
+			how, took := d.clients.Do(ctx, q)
+			d.w.ledger.Ended(q, how)
+			if !d.w.measuring.Load() {
+				return
+			}
+			d.answered.Add(1)
+			if service := d.w.ledger.Service(q.ID); how == standin.Served && service > 0 {
+				d.w.added.record(took - service)
+				d.added.record(took - service)
+			}
+		})
+	}
+}
+
+// close ends all that newWorld and run started and have not ended.
+func (w *world) close() {
+	var wait sync.WaitGroup
+	for _, d := range w.real {
+		wait.Go(d.close)
+	}
+	wait.Wait()
+	if w.backends != nil {
+		w.backends.Close()
+	}
+	if w.dir != "" {
+		os.RemoveAll(w.dir)
+	}
+}
+
+func (d *realDoor) close() {
+	if d.clients != nil {
+		d.clients.Close()
+	}
+	if d.proc != nil && !d.proc.ended() {
+		d.proc.end(time.Second)
+	}
+	if d.agent != nil {
+		d.agent.Close()
+	}
+	if d.counter != nil {
+		d.counter.Close()
+	}
+}
+
+// sum fills in the report what was counted.
+func (w *world) sum() {
+	w.report.Real = w.ledger.Sums(func(id string) bool { return standin.DoorOf(id) < w.o.RealDoors })
+	w.report.Hollow = w.ledger.Sums(func(id string) bool { return standin.DoorOf(id) >= w.o.RealDoors })
+	begun, turned := w.model.Begun()
+	for _, n := range begun {
+		w.report.Begun += n
+	}
+	w.report.TurnedAway = turned
+	for _, h := range w.hollow {
+		w.report.Skipped += h.skipped.Load()
+	}
+}
+
+// row adds a figure with the mean of some values and their spread.
+func (w *world) row(name, unit string, doors int, values []float64, how string) {
+	r := Row{Name: name, Unit: unit, Doors: doors, Backends: w.o.Backends, How: how}
+	if len(values) == 0 {
+		r.How = "failed: nothing to measure: " + how
+	} else {
+		for _, v := range values {
+			r.Value += v / float64(len(values))
+		}
+		r.Spread = slices.Max(values) - slices.Min(values)
+	}
+	w.report.Table = append(w.report.Table, r)
+}
+
+// failure adds a row for what has no value.
+func (w *world) failure(name, unit string, doors int, err error) {
+	text := strings.Join(strings.Fields(err.Error()), " ")
+	w.report.Table = append(w.report.Table, Row{Name: name, Unit: unit, Doors: doors, Backends: w.o.Backends,
+		How: "failed: " + text})
+	w.progress("%s failed: %s", name, text)
+}
+
+var errUnfinished = errors.New("requests are still open")
