Drain a fifth of the fleet, and measure the measuring in a mixed run

With many backends the one that drains gets few attempts: of 5 drains at 200 backends one met an attempt after the push. A fifth of all now drains in one push as well, and the rate at which attempts came there before is told.

Requests that go from the clients to a backend with no door between show what sockets and the process of the stand-ins add.

When the door has read a change is asked of the kernel for that socket alone.

--- a/internal/mixed/hollow.go
+++ b/internal/mixed/hollow.go
@@ -134,7 +134,10 @@
 		events := h.events
 		h.events = nil
 		h.steps.Add(1)
-		for _, a := range h.door.Step(h.w.now(), events) {
+		start := time.Now()
+		actions := h.door.Step(h.w.now(), events)
+		h.w.stepped.record(time.Since(start))
+		for _, a := range actions {
 			h.act(a)
 		}
 	}
--- a/internal/mixed/mixed.go
+++ b/internal/mixed/mixed.go
@@ -23,13 +23,14 @@
 	Root        string        // the repository's root, from which real doors are started; default: the working folder
 	RealDoors   int           // default 3; below 0: none
 	HollowDoors int           // default 30; below 0: none
+	Doors       int           // how many doors all are told there are; default, and at least: those that run
 	Backends    int           // default 200
 	Customers   int           // default 2000
 	Zones       int           // default 7; doors and backends are dealt out among them
 	Rate        float64       // requests a second at each door; default 20
 	Duration    time.Duration // how long is measured, a second after the load has begun; default 20 s
 	Requests    int           // if above 0: each door gets so many requests, and Duration is passed over
-	Drains      int           // backends drained one after another, after Duration; default 5, below 0: none
+	Drains      int           // after Duration: drains of one backend, and as many of a fifth at once; default 5, below 0: none
 	Restarts    int           // restarts of a real door, with the known list and as many without; default 3, below 0: none
 	Seed        uint64        // of the requests, the service times and the hollow doors
 	Service     time.Duration // mean service time of the backends; default 20 ms
@@ -38,6 +39,8 @@
 	MemoryMB    int           // what the real doors are told of their limit; default 192
 	ReadyWithin time.Duration // bound of each wait for a door to become ready; default 10 s
 	Progress    io.Writer     // a line for each phase; nil: none
+
+	drainTime time.Duration // from a drain to the next thing; 0: the usual
 }
 
 func (o Options) withDefaults() Options {
@@ -58,6 +61,7 @@
 	o.Duration = cmp.Or(o.Duration, 20*time.Second)
 	o.Service = cmp.Or(o.Service, 20*time.Millisecond)
 	o.ReadyWithin = cmp.Or(o.ReadyWithin, 10*time.Second)
+	o.drainTime = cmp.Or(o.drainTime, drainTime)
 	if o.Progress == nil {
 		o.Progress = io.Discard
 	}
@@ -93,6 +97,7 @@
 type Report struct {
 	RealDoors   int          `json:"real_doors"`
 	HollowDoors int          `json:"hollow_doors"`
+	Doors       int          `json:"doors"` // that all are told there are
 	Backends    int          `json:"backends"`
 	Customers   int          `json:"customers"`
 	Rate        float64      `json:"rate"` // requests a second at each door
@@ -101,6 +106,7 @@
 	Noisy       bool         `json:"noisy"`   // the machine was too busy for some of the figures
 	Real        standin.Sums `json:"real"`    // over the whole run
 	Hollow      standin.Sums `json:"hollow"`
+	Direct      standin.Sums `json:"direct"`      // requests that went from clients to a backend with no door between
 	Begun       int          `json:"begun"`       // attempts that all backends began, by the backends themselves
 	TurnedAway  int          `json:"turned_away"` // ... and turned away
 	Skipped     int64        `json:"skipped"`     // requests that hollow doors were too late for
--- a/internal/mixed/mixed_test.go
+++ b/internal/mixed/mixed_test.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -58,7 +60,7 @@
 	}
 	t.Setenv("TMPDIR", t.TempDir()) // to see that nothing is left there
 	return Options{Root: root, RealDoors: 1, HollowDoors: 3, Backends: 14, Customers: 60, Rate: 150, Requests: 60, Drains: 1,
-		Restarts: 1, Service: 2 * time.Millisecond, Seed: 7, ReadyWithin: patient}
+		Restarts: 1, Service: 2 * time.Millisecond, Seed: 7, ReadyWithin: patient, drainTime: 100 * time.Millisecond}
 }
 
 // group returns the processes of a group. Those that only wait to be reaped by whoever inherited them do not count.
@@ -132,7 +134,7 @@
 			t.Errorf("the backends of %s doors and their clients do not agree: %+v", part.name, s)
 		}
 	}
-	if sum := r.Real.Runs + r.Hollow.Runs; r.Begun != sum {
+	if sum := r.Real.Runs + r.Hollow.Runs + r.Direct.Runs; r.Begun != sum {
 		t.Errorf("the backends began %d attempts, but %d by the requests' ids", r.Begun, sum)
 	}
 	if failed := r.Failed(); len(failed) > 0 {
@@ -145,8 +147,9 @@
 	for _, row := range r.Rows() {
 		values[row.Name] = row.Value
 	}
-	for _, name := range []string{"whole list", "one change", "to the counter", "from the counter", "added by the door, p50",
-		"added by the door, p99", "requests ended", "resident memory", "open descriptors", "counter calls for a request",
+	for _, name := range []string{"whole list", "drain of one backend, line of the watch", "drain of one backend, read by the door",
+		"drain of 2 backends, line of the watch", "to the counter", "from the counter", "added by the door, p50",
+		"added by the door, p99", "added without a door, p50", "requests ended", "resident memory", "open descriptors", "counter calls for a request",
 		"connections held by a backend, most", "time to ready after SIGKILL, list known",
 		"time to ready after SIGKILL, list unknown", "end after SIGTERM", "hollow doors' steps"} {
 		if values[name] <= 0 {
@@ -228,6 +231,49 @@
 	}
 }
 
+// Both ways of asking tell what a socket has not been read from.
+func TestUnread(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	a, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	b, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	own, peer := netip.MustParseAddrPort(a.LocalAddr().String()), netip.MustParseAddrPort(b.LocalAddr().String())
+	for i, want := range []int{0, 5, 0} {
+		if i == 1 {
+			b.Write([]byte("12345"))
+		} else if i == 2 {
+			a.Read(make([]byte, 64))
+		}
+		n, err := tableUnread(own, peer)
+		for end := time.Now().Add(patient); n != want && err == nil && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+			n, err = tableUnread(own, peer)
+		}
+		if n != want || err != nil {
+			t.Errorf("%d bytes by the table, %v; want %d", n, err, want)
+		}
+		if n, err := diagUnread(own, peer); err == nil && n != want { // the kernel may come without it
+			t.Errorf("%d bytes by sock_diag, want %d", n, want)
+		} else if err != nil {
+			t.Log(err)
+		}
+	}
+	if _, _, err := unread(peer, netip.MustParseAddrPort("127.0.0.1:1")); err == nil {
+		t.Error("a socket that there is not is found")
+	}
+}
+
 // Real and hollow doors are told the same settings.
 func TestSettingsAgree(t *testing.T) {
 	for _, rank := range []int{0, 9} {
--- a/internal/mixed/run.go
+++ b/internal/mixed/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +21,7 @@
 	defer stop()
 	background.Go(func() { w.watchLateness(ctx) })
 
+	before := heapInUse()
 	begin, halt := make(chan struct{}), make(chan struct{})
 	for _, h := range w.hollow {
 		background.Go(func() { h.run(ctx, begin, halt) })
@@ -26,6 +29,9 @@
 	if err := w.startDoors(ctx); err != nil {
 		return err
 	}
+	if n := len(w.hollow); n > 0 {
+		w.row("memory of a hollow door", "MB", n, []float64{mb(heapInUse()-before) / float64(n)}, "of the heap, with the list taken in and no load yet")
+	}
 	doors := w.up()
 	if len(doors)+len(w.hollow) == 0 {
 		return errors.New("no door is ready")
@@ -41,6 +47,14 @@
 	return ctx.Err()
 }
 
+// heapInUse returns how many bytes of the heap are in use.
+func heapInUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 // up returns the real doors that run.
 func (w *world) up() (doors []*realDoor) {
 	for _, d := range w.real {
@@ -158,14 +172,18 @@
 	defer halted()
 	ended := make(chan struct{})
 	close(begin)
-	defer context.AfterFunc(ctx, func() { // else an answer would still be awaited
+	stopClients := context.AfterFunc(ctx, func() { // else an answer would still be awaited
 		for _, d := range doors {
 			d.clients.Close()
 		}
-	})()
+	})
+	defer stopClients()
 	for _, d := range doors {
 		clients.Go(func() { d.drive(ctx, halt) })
 	}
+	direct, stopDirect := context.WithCancel(ctx)
+	defer stopDirect()
+	clients.Go(func() { w.direct(direct, halt) })
 	go func() {
 		defer close(ended)
 		clients.Wait()
@@ -183,10 +201,12 @@
 	w.progress("load of %.0f requests/s at each door", w.o.Rate)
 	w.noise()
 	w.hollowLate.reset()
+	w.stepped.reset()
 	for _, d := range doors {
 		d.added.reset()
 	}
 	w.added.reset()
+	w.bare.reset()
 	w.measuring.Store(true)
 	from := w.count(doors)
 	conns := newConnections()
@@ -223,7 +243,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-time.After(deadline + answerSlack + time.Second):
-		w.failure("requests left open", "", w.doors(), errUnfinished)
+		w.failure("requests left open", "", w.running(doors), errUnfinished)
 	}
 	return nil
 }
@@ -253,6 +273,11 @@
 		w.row("from the counter", "bytes/s", n, each(from.counterOut, to.counterOut), "TCP payload by door")
 		for _, q := range []float64{50, 99} {
 			w.addedRow(doors, q, noise)
+			v, all := w.bare.at(q)
+			if all > 0 {
+				w.row(fmt.Sprintf("added without a door, p%.0f", q), "us", 0, []float64{v},
+					fmt.Sprintf("the same for %d requests from the clients to a backend: what sockets and this process add%s", all, noise))
+			}
 		}
 		var cpu, share, rss, peak, files, rates []float64
 		for i := range doors {
@@ -279,13 +304,18 @@
 		w.row("connections opened to backends", "1/s", n, []float64{float64(to.conns-from.conns) / seconds}, "by all real doors")
 	}
 	calls, requests := float64(to.calls-from.calls), float64(to.arrivals-from.arrivals)
-	w.row("counter calls", "1/s", w.doors(), []float64{calls / seconds},
+	w.row("counter calls", "1/s", w.running(doors), []float64{calls / seconds},
 		fmt.Sprintf("of all doors; %d turned away", to.busy-from.busy))
 	if requests > 0 {
-		w.row("counter calls for a request", "", w.doors(), []float64{calls / requests},
+		w.row("counter calls for a request", "", w.running(doors), []float64{calls / requests},
 			fmt.Sprintf("%.0f requests reached all doors", requests))
 	}
 	if len(w.hollow) > 0 {
+		for _, q := range []float64{50, 99} {
+			v, all := w.stepped.at(q)
+			w.row(fmt.Sprintf("Step of a hollow door, p%.0f", q), "us", len(w.hollow), []float64{v},
+				fmt.Sprintf("%d steps with all that came since the one before, %d doors at a time%s", all, hollowCores, noise))
+		}
 		late, _ := w.hollowLate.at(99)
 		w.row("hollow doors' lateness, p99", "us", len(w.hollow), []float64{late}, "of what was due in their loops"+noise)
 		w.row("hollow doors' steps", "1/s", len(w.hollow), []float64{float64(to.hollowSteps-from.hollowSteps) / seconds}, "all together")
@@ -337,74 +367,121 @@
 	return float64(c.all) / float64(max(1, c.samples)) / float64(backends)
 }
 
-// drains drains backends one after another, those that the real doors sent most to, and puts each back. The backends
-// themselves go on serving, so that nothing but the list tells the doors.
+// drains drains backends, first one at a time and then a fifth of all in one push, each time those that the real doors
+// sent most to, and puts them back. The backends themselves go on serving, so that nothing but the list tells the doors.
 func (w *world) drains(ctx context.Context, doors []*realDoor) error {
-	if w.o.Drains == 0 {
-		return nil
-	}
-	w.progress("%d drains", w.o.Drains)
-	w.noise()
-	var inForce, inForceReal, late, read, size []float64
-	drained := map[int]bool{}
-	for range w.o.Drains {
-		w.mu.Lock()
-		most := -1
-		for i, n := range w.seen {
-			if !drained[i] && (most < 0 || n > w.seen[most]) {
-				most = i
-			}
-		}
-		if most < 0 {
-			w.mu.Unlock()
-			break
-		}
-		drained[most] = true
-		d := &drain{backend: most, at: time.Now(), last: map[int]time.Time{}}
-		w.drain, w.told, w.read = d, nil, nil
-		w.mu.Unlock()
-		m := w.members[most]
-		m.Status = standin.Draining
-		w.catalog.Apply(m)
-		err := pause(ctx, drainTime)
-		for end := d.at.Add(readWithin); err == nil && time.Now().Before(end) && w.reads() < len(doors); {
-			err = pause(ctx, time.Millisecond)
+	for _, n := range []int{1, min(max(2, w.o.Backends/5), len(w.seen)-1)} {
+		if w.o.Drains == 0 || n < 1 {
+			continue
 		}
-		w.mu.Lock()
-		w.drain = nil
-		all, real := time.Duration(0), time.Duration(0)
-		for rank, at := range d.last {
-			all = max(all, at.Sub(d.at))
-			if rank < w.o.RealDoors {
-				real = max(real, at.Sub(d.at))
+		w.progress("%d drains of %d", w.o.Drains, n)
+		w.noise()
+		var all drained
+		for range w.o.Drains {
+			if err := w.drainOnce(ctx, n, len(doors), &all); err != nil {
+				return err
 			}
 		}
-		inForce, inForceReal, late = append(inForce, ms(all)), append(inForceReal, ms(real)), append(late, float64(d.count))
-		for _, t := range w.told {
-			size = append(size, float64(t.Bytes))
-		}
-		for _, t := range w.read {
-			read = append(read, ms(t))
-		}
-		w.mu.Unlock()
-		w.catalog.Apply(w.members[most])
-		if err != nil {
-			return err
-		}
-		if err := pause(ctx, betweenDrains); err != nil { // else the two changes could be told as one
-			return err
+		w.drainRows(n, doors, &all)
+	}
+	return nil
+}
+
+// drained gathers what some drains gave.
+type drained struct {
+	inForce, inForceReal []float64 // ms, by drain
+	attempts             []float64 // by drain
+	rate                 []float64 // attempts a second before, by drain
+	read                 []float64 // ms, by drain and real door
+	bytes                []float64
+}
+
+// drainOnce drains so many backends in one push, and puts them back once all doors must have heard.
+func (w *world) drainOnce(ctx context.Context, n, doors int, to *drained) error {
+	w.mu.Lock()
+	busiest := make([]int, len(w.seen))
+	for i := range busiest {
+		busiest[i] = i
+	}
+	slices.SortStableFunc(busiest, func(a, b int) int { return w.seen[b] - w.seen[a] })
+	clear(w.seen)
+	w.mu.Unlock()
+	changes := make([]standin.Member, n)
+	back := make([]standin.Member, n)
+	d := &drain{backends: make(map[int]bool, n), last: map[int]time.Time{}}
+	for k, i := range busiest[:n] {
+		back[k], changes[k] = w.members[i], w.members[i]
+		changes[k].Status = standin.Draining
+		d.backends[i] = true
+	}
+	// Which backends come first is told by what has come since the drain before, so their rate is known as well.
+	before, _ := w.model.Begun()
+	start := time.Now()
+	if err := pause(ctx, rateTime); err != nil {
+		return err
+	}
+	after, _ := w.model.Begun()
+	rate := 0
+	for i := range d.backends {
+		rate += after[i] - before[i]
+	}
+	to.rate = append(to.rate, float64(rate)/time.Since(start).Seconds())
+
+	w.mu.Lock()
+	d.at = time.Now()
+	w.drain, w.told, w.read = d, nil, nil
+	w.mu.Unlock()
+	w.catalog.Apply(changes...)
+	err := pause(ctx, w.o.drainTime)
+	for end := d.at.Add(readWithin); err == nil && time.Now().Before(end) && w.reads() < doors; {
+		err = pause(ctx, time.Millisecond)
+	}
+	w.mu.Lock()
+	w.drain = nil
+	all, real := time.Duration(0), time.Duration(0)
+	for rank, at := range d.last {
+		all = max(all, at.Sub(d.at))
+		if rank < w.o.RealDoors {
+			real = max(real, at.Sub(d.at))
 		}
 	}
-	how := fmt.Sprintf("last first byte at the drained backend after the push, 0: none came; mean of %d drains%s",
-		len(inForce), w.noise())
-	w.row("drain in force at all doors", "ms", w.doors(), inForce, how)
-	w.row("attempts at a drained backend", "", w.doors(), late, "after the push, of all doors")
-	if n := len(doors); n > 0 {
-		w.row("drain in force at the real doors", "ms", n, inForceReal, how)
-		w.row("a change read by the door", "ms", n, read, fmt.Sprintf("from the agent's write until the door's socket is empty, by /proc/net/tcp, %d seen", len(read)))
-		w.row("one change", "bytes", n, size, fmt.Sprintf("a line of a watch, %d seen", len(size)))
+	to.inForce, to.inForceReal = append(to.inForce, ms(all)), append(to.inForceReal, ms(real))
+	to.attempts = append(to.attempts, float64(d.count))
+	for _, t := range w.told {
+		to.bytes = append(to.bytes, float64(t.Bytes))
+	}
+	for _, t := range w.read {
+		to.read = append(to.read, ms(t))
+	}
+	w.mu.Unlock()
+	w.catalog.Apply(back...)
+	if err != nil {
+		return err
+	}
+	return pause(ctx, betweenDrains) // else the two changes could be told as one
+}
+
+func (w *world) drainRows(n int, doors []*realDoor, d *drained) {
+	what := "drain of one backend"
+	if n > 1 {
+		what = fmt.Sprintf("drain of %d backends", n)
+	}
+	rate := 0.0
+	for _, v := range d.rate {
+		rate += v / float64(len(d.rate))
+	}
+	how := fmt.Sprintf("from the push to the last first byte at a drained backend, 0: none came; mean of %d; %.1f attempts/s came there before%s",
+		len(d.inForce), rate, w.noise())
+	w.row(what+", in force at all doors", "ms", w.running(doors), d.inForce, how)
+	if len(doors) > 0 {
+		w.row(what+", in force at real doors", "ms", len(doors), d.inForceReal, how)
+	}
+	w.row(what+", attempts after the push", "", w.running(doors), d.attempts, "of all doors, by drain")
+	if len(doors) > 0 {
+		w.row(what+", read by the door", "ms", len(doors), d.read,
+			fmt.Sprintf("from the agent's write until the door's socket is empty, by %s, %d seen", w.readBy, len(d.read)))
+		w.row(what+", line of the watch", "bytes", len(doors), d.bytes, fmt.Sprintf("%d seen", len(d.bytes)))
 	}
-	return nil
 }
 
 // reads returns how many doors have read the change that is being watched.
--- a/internal/mixed/world.go
+++ b/internal/mixed/world.go
@@ -30,6 +30,7 @@
 	noisyAbove    = 5 * time.Millisecond // own scheduling delay at p99
 	warmUp        = time.Second
 	drainTime     = 700 * time.Millisecond // from a drain to the next thing
+	rateTime      = 300 * time.Millisecond // for which is counted what comes to a backend before it drains
 	readWithin    = 5 * time.Second        // ... though a door may take so long to read that it drains
 	betweenDrains = 100 * time.Millisecond // from a backend's being put back to the next drain
 	answerSlack   = 3 * time.Second        // that clients wait beyond their own time
@@ -55,23 +56,26 @@
 	real     []*realDoor
 	hollow   []*hollow
 
-	hollowLate, late, added *histogram
-	arrivals                atomic.Int64 // requests, at all doors
-	measuring               atomic.Bool
+	hollowLate, late *histogram
+	added, bare      *histogram // by a request's way through a door, and without one
+	stepped          *histogram
+	arrivals         atomic.Int64 // requests, at all doors
+	measuring        atomic.Bool
 
-	mu    sync.Mutex
-	seen  []int  // commands of real doors, by backend with a listener of its own
-	drain *drain // the one that is being watched
-	told  []standin.Told
-	read  []time.Duration // from a change's being sent to its being read, by door
+	mu     sync.Mutex
+	seen   []int  // commands of real doors, by backend with a listener of its own
+	drain  *drain // the one that is being watched
+	told   []standin.Told
+	read   []time.Duration // from a change's being sent to its being read, by door
+	readBy string          // how that was found
 }
 
 // drain is what comes to a drained backend.
 type drain struct {
-	backend int
-	at      time.Time
-	last    map[int]time.Time // by door
-	count   int
+	backends map[int]bool
+	at       time.Time
+	last     map[int]time.Time // by door
+	count    int
 }
 
 // realDoor is a real door and what is its own.
@@ -92,8 +96,9 @@
 	w = &world{o: o, begun: time.Now(), spot: make(map[string]int, o.Backends), numbers: standin.NewNumbers(o.CounterRate),
 		ledger: standin.NewLedger(), cores: make(chan struct{}, hollowCores),
 		model:      standin.NewModel(o.Backends, o.Slots, o.Service, 10*o.Service, o.Seed),
-		hollowLate: newHistogram(), late: newHistogram(), added: newHistogram(),
-		report: &Report{RealDoors: o.RealDoors, HollowDoors: o.HollowDoors, Backends: o.Backends, Customers: o.Customers,
+		hollowLate: newHistogram(), late: newHistogram(), added: newHistogram(), bare: newHistogram(), stepped: newHistogram(),
+		report: &Report{RealDoors: o.RealDoors, HollowDoors: o.HollowDoors,
+			Doors: max(o.Doors, o.RealDoors+o.HollowDoors), Backends: o.Backends, Customers: o.Customers,
 			Rate: o.Rate, Seed: o.Seed}}
 	defer func() {
 		if err != nil {
@@ -139,7 +144,11 @@
 	return w, nil
 }
 
-func (w *world) doors() int { return w.o.RealDoors + w.o.HollowDoors }
+// doors is how many doors all are told there are.
+func (w *world) doors() int { return max(w.o.Doors, w.o.RealDoors+w.o.HollowDoors) }
+
+// running is how many doors run, of the real ones these.
+func (w *world) running(doors []*realDoor) int { return len(doors) + len(w.hollow) }
 
 // now is the hollow doors' clock: like a real door's, the Unix time at the start and what has passed since.
 func (w *world) now() time.Duration {
@@ -159,7 +168,7 @@
 	if backend < len(w.seen) && rank < w.o.RealDoors {
 		w.seen[backend]++
 	}
-	if d := w.drain; d != nil && d.backend == backend && first.After(d.at) {
+	if d := w.drain; d != nil && rank < w.doors() && d.backends[backend] && first.After(d.at) {
 		d.last[rank] = first
 		d.count++
 	}
@@ -242,7 +251,7 @@
 // tell takes note of a change of the list that the door was sent, and finds out when it was read.
 func (d *realDoor) tell(t standin.Told) {
 	d.w.mu.Lock()
-	watched := d.w.drain != nil && !t.Whole && t.Entries == 1 && len(d.w.told) < 1<<12
+	watched := d.w.drain != nil && !t.Whole && t.Entries == len(d.w.drain.backends) && len(d.w.told) < 1<<12
 	if watched {
 		d.w.told = append(d.w.told, t)
 	}
@@ -251,17 +260,17 @@
 		return
 	}
 	for time.Since(t.At) < readWithin {
-		n, known, err := unread(t.Peer, t.Own)
-		if err != nil || !known {
+		n, way, err := unread(t.Peer, t.Own)
+		if err != nil {
 			return
 		}
 		if n == 0 {
 			d.w.mu.Lock()
-			d.w.read = append(d.w.read, time.Since(t.At))
+			d.w.read, d.w.readBy = append(d.w.read, time.Since(t.At)), way
 			d.w.mu.Unlock()
 			return
 		}
-		time.Sleep(200 * time.Microsecond)
+		time.Sleep(50 * time.Microsecond)
 	}
 }
 
@@ -309,6 +318,30 @@
 	}
 }
 
+// direct sends requests to a backend with no door between, as a measure of what the measuring adds. Their ids name a
+// door that there is not.
+func (w *world) direct(ctx context.Context, halt <-chan struct{}) {
+	clients := standin.NewClients(w.backends.Addr(0), 1, answerSlack)
+	defer clients.Close()
+	defer context.AfterFunc(ctx, clients.Close)()
+	traffic := standin.NewTraffic(w.traffic, w.doors())
+	for n := 0; w.o.Requests == 0 || n < w.o.Requests; n++ {
+		gap, q := traffic.Next()
+		select {
+		case <-time.After(gap):
+		case <-halt:
+			return
+		case <-ctx.Done():
+			return
+		}
+		how, took := clients.Do(ctx, q)
+		w.ledger.Ended(q, how)
+		if service := w.ledger.Service(q.ID); how == standin.Served && w.measuring.Load() {
+			w.bare.record(took - service)
+		}
+	}
+}
+
 // close ends all that newWorld and run started and have not ended.
 func (w *world) close() {
 	var wait sync.WaitGroup
@@ -342,7 +375,11 @@
 // sum fills in the report what was counted.
 func (w *world) sum() {
 	w.report.Real = w.ledger.Sums(func(id string) bool { return standin.DoorOf(id) < w.o.RealDoors })
-	w.report.Hollow = w.ledger.Sums(func(id string) bool { return standin.DoorOf(id) >= w.o.RealDoors })
+	w.report.Hollow = w.ledger.Sums(func(id string) bool {
+		rank := standin.DoorOf(id)
+		return rank >= w.o.RealDoors && rank < w.doors()
+	})
+	w.report.Direct = w.ledger.Sums(func(id string) bool { return standin.DoorOf(id) >= w.doors() })
 	begun, turned := w.model.Begun()
 	for _, n := range begun {
 		w.report.Begun += n
