Keep the load of a customer when a mixed run tells of more doors

With 810 doors told of and 33 playing, 2000 customers came to 20 for each door, each well beyond its quota: 486 of 1056 requests of the real doors were refused. The default is now 60 customers for each door told of.

A test now runs with more doors told of than play.

--- a/internal/mixed/mixed.go
+++ b/internal/mixed/mixed.go
@@ -25,7 +25,7 @@
 	HollowDoors int           // default 30; below 0: none
 	Doors       int           // how many doors all are told there are; default, and at least: those that run
 	Backends    int           // default 200
-	Customers   int           // default 2000
+	Customers   int           // of all Doors; default 60 for each
 	Zones       int           // default 7; doors and backends are dealt out among them
 	Rate        float64       // requests a second at each door; default 20
 	Duration    time.Duration // how long is measured, a second after the load has begun; default 20 s
@@ -51,7 +51,8 @@
 	count(&o.RealDoors, 3)
 	count(&o.HollowDoors, 30)
 	count(&o.Backends, 200)
-	count(&o.Customers, 2000)
+	o.Doors = max(o.Doors, o.RealDoors+o.HollowDoors)
+	count(&o.Customers, 60*o.Doors)
 	count(&o.Zones, 7)
 	count(&o.Drains, 5)
 	count(&o.Restarts, 3)
--- a/internal/mixed/mixed_test.go
+++ b/internal/mixed/mixed_test.go
@@ -193,7 +193,7 @@
 	o.Root = t.TempDir()
 	os.Mkdir(filepath.Join(o.Root, "deploy"), 0o700)
 	os.WriteFile(filepath.Join(o.Root, "deploy", "balancer.toml"), []byte("run = \"echo \\\"not me\\\" >&2; sleep 60\"\n"), 0o600)
-	o.ReadyWithin, o.Requests, o.Drains = 300*time.Millisecond, 10, -1
+	o.ReadyWithin, o.Requests, o.Drains, o.Doors = 300*time.Millisecond, 10, -1, 50
 	r, err := Run(context.Background(), o)
 	if err != nil {
 		t.Fatal(err)
@@ -203,8 +203,9 @@
 	if len(failed) != 1 || !strings.Contains(failed[0].How, "not ready") || !strings.Contains(failed[0].How, "not me") {
 		t.Errorf("failed: %+v", failed)
 	}
-	if r.Real.Requests != 0 || r.Hollow.Requests != 30-int(r.Skipped) {
-		t.Errorf("%d requests of real and %d of hollow doors", r.Real.Requests, r.Hollow.Requests)
+	if r.Doors != 50 || r.Real.Requests != 0 || r.Hollow.Requests != 30-int(r.Skipped) || r.Direct.Served != 10 {
+		t.Errorf("of %d doors %d requests of real and %d of hollow ones, %d past them", r.Doors, r.Real.Requests,
+			r.Hollow.Requests, r.Direct.Served)
 	}
 }
 
--- a/internal/mixed/world.go
+++ b/internal/mixed/world.go
@@ -98,7 +98,7 @@
 		model:      standin.NewModel(o.Backends, o.Slots, o.Service, 10*o.Service, o.Seed),
 		hollowLate: newHistogram(), late: newHistogram(), added: newHistogram(), bare: newHistogram(), stepped: newHistogram(),
 		report: &Report{RealDoors: o.RealDoors, HollowDoors: o.HollowDoors,
-			Doors: max(o.Doors, o.RealDoors+o.HollowDoors), Backends: o.Backends, Customers: o.Customers,
+			Doors: o.Doors, Backends: o.Backends, Customers: o.Customers,
 			Rate: o.Rate, Seed: o.Seed}}
 	defer func() {
 		if err != nil {
@@ -145,7 +145,7 @@
 }
 
 // doors is how many doors all are told there are.
-func (w *world) doors() int { return max(w.o.Doors, w.o.RealDoors+w.o.HollowDoors) }
+func (w *world) doors() int { return w.o.Doors }
 
 // running is how many doors run, of the real ones these.
 func (w *world) running(doors []*realDoor) int { return len(doors) + len(w.hollow) }
