--- a/door.go
+++ b/door.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -35,6 +36,14 @@
 	thinSlope   = 1.5                     // what the lowest level adds to that part, as a multiple
 	sharersMost = 16.0                    // doors to which one server is near: their traffic is even in sum
 	nearLeast   = 8                       // servers near to a door at least, so that one lost is no great part
+	nearMany    = 4 * nearLeast           // so many are of all zones by chance alone
+	nearSlack   = 0.0625                  // what a door may have over the mean of them: few change when one goes
+	roundStays  = 0.75                    // part of nearLeast at which the doors of a round become fewer
+	lookNear    = 32                      // near servers compared for a request: as good as all, and smaller ...
+	lookFar     = 256                     // ... fleets are seen whole; others looked at if none near can serve
+	costBusy    = 1e3                     // added to the cost of a server with no free slot ...
+	costFar     = 1e4                     // ... of one that is not near ...
+	costCold    = 1e6                     // ... and of one whose cold budget is spent
 	slotsStart  = 4.0                     // slots of a server at first, over all doors
 	slotsMost   = 32.0                    // slots at most
 	slotsLeast  = 0.1                     // and at least: under one, pauses between sends
@@ -500,18 +509,41 @@
 }
 
 // choose picks a server: round robin, passing over one on which more work waits for its weight and speed, and
-// one in its pause. Where a door sends to each so rarely that what it knows is old or luck, chance has a part
-// (a departure: then all doors together give each server by its weight and speed; none is found by all).
+// one in its pause. It looks at a bounded part of the fleet, however large that is.
 func (d *Door) choose(r *request) *server {
-	var best *server
-	low, chance := math.Inf(1), d.thin()
 	d.turn++
-	for i := range d.ring {
-		s := d.ring[(d.turn+i)%len(d.ring)]
-		if !s.usable() || !d.mayRepeat(r, s) {
+	best, low := d.cheapest(r, d.near, lookNear, true)
+	if low >= costFar {
+		if far, cost := d.cheapest(r, d.ring, lookFar, false); cost < low {
+			best = far
+		}
+	}
+	return best
+}
+
+// cheapest looks through servers from this turn's on, near ones until it has compared so many and found one
+// that is free, others until it has looked at so many. Where a door sends to each so rarely that what it
+// knows is old or luck, chance has a part (a departure: then all doors together give each server by its
+// weight and speed; none is found by all).
+func (d *Door) cheapest(r *request, all []*server, most int, near bool) (best *server, low float64) {
+	low = math.Inf(1)
+	chance := d.thin()
+	for i := range all {
+		if most <= 0 && (!near || low < costBusy) {
+			break
+		}
+		s := all[(d.turn+i)%len(all)]
+		if !near {
+			most--
+		}
+		if s.near != near || !s.usable() || !d.mayRepeat(r, s) {
+			continue
+		}
+		warm := d.warmth(s)
+		if !near && warm < 1 { // its cold budget belongs to the doors that it is near to
 			continue
 		}
-		cost := (float64(len(s.outs)+s.queued) + 1) * s.slow / (s.weight * d.warmth(s))
+		cost := (float64(len(s.outs)+s.queued) + 1) * s.slow / (s.weight * warm)
 		if s.zone != d.set.Zone {
 			cost *= 1.05
 		}
@@ -519,57 +551,109 @@
 			cost *= 1 - chance + chance*d.rng.ExpFloat64()
 		}
 		if !d.free(s) {
-			cost = cost*10/min(1, s.slots) + 1e3
+			cost = cost*10/min(1, s.slots) + costBusy
 		}
-		if !s.near {
-			if d.warmth(s) < 1 { // its cold budget belongs to the doors that it is near to
-				continue
+		if near {
+			most--
+			if d.coldFull(s) {
+				cost += costCold
 			}
-			cost += 1e4
-		}
-		if d.coldFull(s) {
-			cost += 1e6
+		} else {
+			cost += costFar
 		}
 		if cost < low-1e-9 {
 			best, low = s, cost
 		}
 	}
-	return best
+	return best, low
 }
 
-// seat picks the servers that are near: those that this door uses while it can (a departure: many doors; were
-// each to use all, a server's connections and handshakes would grow with the doors, and each door would meet
-// it too seldom to know it). The doors of one round share out the whole list, in an order that all of the
-// round work out alike from the names: so every server is near to as many doors, and a change of the list
-// moves few of them.
+// seat picks the servers that are near, the door's subset: those that it uses while it can (a departure: many
+// doors; were each to use all, a server's connections and handshakes would grow with the doors, and each door
+// would meet it too seldom to know it). The doors of one round share out the whole list, so every server is
+// near to as many doors. They do so by consistent hashing with bounded loads: a change of the list moves few.
 func (d *Door) seat() {
-	var names []string
-	for _, s := range d.ring {
-		s.near = false
-		if s.listed {
-			names = append(names, s.name)
+	seats := max(1, int(math.Round(float64(d.set.Doors)/sharersMost)))
+	fits := max(1, coarse(d.inService/nearLeast))
+	if d.round != nil && float64(d.inService) >= roundStays*nearLeast*float64(d.round.Seats()) {
+		fits = max(fits, d.round.Seats())
+	}
+	seats = min(seats, fits)
+	d.sharers = max(1, float64(d.set.Doors)/float64(seats))
+	for _, s := range d.changed {
+		if !s.listed && s.member.Seated() {
+			d.round.Remove(&s.member)
 		}
 	}
-	n := len(names)
-	if n == 0 {
-		return
+	if d.round == nil || d.round.Seats() != seats {
+		d.newRound(seats)
 	}
-	size := min(n, max(nearLeast, int(math.Ceil(sharersMost*float64(n)/float64(d.set.Doors)))))
-	seats := (n + size - 1) / size // of a round
-	round := d.set.Rank / seats
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(seatOrder(a, round), seatOrder(b, round)), cmp.Compare(a, b))
-	})
-	first := d.set.Rank % seats * n / seats
-	for i := range size {
-		d.servers[names[(first+i)%n]].near = true
-	}
-	d.sharers = max(1, float64(d.set.Doors)*float64(size)/float64(n))
-	for _, s := range d.ring {
+	for _, s := range d.changed {
+		if s.listed && !s.member.Seated() {
+			d.round.Add(&s.member, s.name)
+		}
 		if s.slots < 0 {
 			s.slots = max(slotsLeast, slotsStart/d.sharers)
+			d.tally(s)
+		}
+	}
+	d.changed = d.changed[:0]
+	d.topUp()
+}
+
+// coarse rounds a number of seats down to three binary digits: a list that grows then changes it seldom, and
+// each change deals all servers out anew.
+func coarse(seats int) int {
+	drop := max(0, bits.Len(uint(seats))-3)
+	return seats >> drop << drop
+}
+
+// topUp gives a door that was dealt too few servers some more, by an order of its own: too few in all, or too
+// few outside some zone, which may be lost.
+func (d *Door) topUp() {
+	for _, s := range d.extra {
+		if s.extra {
+			s.extra = false
+			d.setNear(s, false)
+		}
+	}
+	d.extra = d.extra[:0]
+	for zone, short := d.shortOf(); short; zone, short = d.shortOf() {
+		var best *server
+		for _, s := range d.ring {
+			if s.listed && !s.near && s.zone != zone && (best == nil || d.ownOrder(s) < d.ownOrder(best)) {
+				best = s
+			}
+		}
+		if best == nil { // there are none besides
+			return
+		}
+		best.extra = true
+		d.extra = append(d.extra, best)
+		d.setNear(best, true)
+	}
+}
+
+// shortOf says whether a door has too few near servers: outside of a zone, or (-1) in all.
+func (d *Door) shortOf() (zone int, short bool) {
+	if len(d.near) < min(nearLeast, d.inService) {
+		return -1, true
+	}
+	if len(d.near) >= nearMany {
+		return 0, false
+	}
+	for _, s := range d.near {
+		in := 0
+		for _, o := range d.near {
+			if o.zone == s.zone {
+				in++
+			}
+		}
+		if len(d.near)-in < nearLeast/2 {
+			return s.zone, true
 		}
 	}
+	return 0, false
 }
 
 // mayRepeat says whether a request that may have run can go to a server (rule 2).
@@ -627,7 +711,7 @@
 		return false
 	}
 	ahead := 1
-	for l := 0; l <= r.level; l++ {
+	for l := 0; s.queued > 0 && l <= r.level; l++ {
 		ahead += s.count[l]
 	}
 	lat := d.latency(r, s)
@@ -648,12 +732,15 @@
 		if s.queued == 0 && (d.queued == 0 || !s.near) {
 			return
 		} else if s.queued == 0 {
-			for _, o := range d.ring {
+			for _, o := range d.lines {
 				if o.queued > from.queued && !d.free(o) {
 					from = o
 				}
 			}
 		}
+		if from.queued == 0 {
+			return
+		}
 		r := d.pick(from, s)
 		if r == nil {
 			return
@@ -750,6 +837,7 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	s.outs = append(s.outs, a)
+	d.watch(s)
 	if s.cold {
 		s.recent = append(s.recent, d.now)
 	}
@@ -852,16 +940,13 @@
 
 // mostTurn says whether half of the near servers have turned the last request away.
 func (d *Door) mostTurn() bool {
-	near, turned := 0, 0
-	for _, s := range d.ring {
-		if s.near {
-			near++
-			if s.turned {
-				turned++
-			}
+	turned := 0
+	for _, s := range d.near {
+		if s.turned {
+			turned++
 		}
 	}
-	return 2*turned >= near
+	return 2*turned >= len(d.near)
 }
 
 // pace grows the slots while latency is well under tau*f and all are in use, and shrinks them when it is not.
@@ -931,12 +1016,13 @@
 // beat looks for what no event tells: silence, waiting customers, free slots.
 func (d *Door) beat() {
 	d.act(SetTimer{d.now + tick, 0})
-	for _, s := range d.ring {
+	for _, s := range d.watched {
 		if d.now-d.beatAt < stalled { // else this door stood still, and what came meanwhile is not yet read
 			d.watchServer(s)
 		}
 	}
 	d.beatAt = d.now
+	d.unwatch()
 	stuck := d.stuck
 	d.stuck = nil
 	for _, r := range stuck {
@@ -944,11 +1030,7 @@
 			d.place(r)
 		}
 	}
-	if d.queued > 0 {
-		for _, s := range d.ring {
-			d.fill(s)
-		}
-	}
+	d.fillAll()
 	list := d.waiters
 	d.waiters = nil
 	for _, c := range list {
@@ -983,16 +1065,14 @@
 		return
 	}
 	live := 0
-	near := 0
-	for _, o := range d.ring {
-		if o.near {
-			near++
-		}
-		if o.usable() && d.now-o.heard < d.now-s.heard && d.now-o.heard < 500*time.Millisecond {
-			live++
+	for i, all := range [2][]*server{d.near, d.watched} {
+		for _, o := range all {
+			if (i == 0 || !o.near) && o.usable() && o.heard > s.heard && d.now-o.heard < 500*time.Millisecond {
+				live++
+			}
 		}
 	}
-	if 4*live >= near && live > 0 {
+	if 4*live >= len(d.near) && live > 0 {
 		d.eject(s)
 	}
 }
@@ -1002,6 +1082,8 @@
 	s.ejected, s.trying = true, false
 	s.trialPause = max(trialFirst, time.Duration(d.rng.Int64N(int64(d.sharers*float64(trialEach)))))
 	s.trialAt = d.now + s.trialPause
+	d.tally(s)
+	d.watch(s)
 	d.act(Log{"no longer used: " + s.name})
 	d.moveQueue(s)
 	if !d.set.MayCancel {
@@ -1026,7 +1108,7 @@
 		r.tau.Seconds() < trialRoom*d.base[r.class] {
 		return nil
 	}
-	for _, s := range d.ring {
+	for _, s := range d.watched {
 		if s.listed && s.near && s.ejected && !s.trying && d.now >= s.trialAt && !d.coldFull(s) {
 			return s
 		}
@@ -1051,8 +1133,10 @@
 	s.ejected, s.trying, s.fails, s.lost, s.heard = false, false, 0, 0, d.now
 	d.act(Log{"used again: " + s.name})
 	if fresh {
-		s.cold, s.coldAt, s.slow, s.slots = true, d.now, 1, 1
+		s.slow, s.slots = 1, 1
+		d.chill(s, d.now)
 	}
+	d.tally(s)
 }
 
 // list takes news of the backends.
@@ -1066,17 +1150,29 @@
 		return
 	}
 	d.listAt, d.listWait = d.now, 0
+	d.lists++
 	for _, b := range ev.Entries {
 		d.entry(b)
 	}
 	if ev.Scope != Delta {
-		d.retireMissing(ev.Entries)
+		d.retireMissing()
 	}
 	d.prune()
 	d.seat()
-	for _, s := range d.ring {
-		d.fill(s)
+	d.fillAll()
+}
+
+// fillAll releases what is queued: first each server its own, then those with nothing queued help.
+func (d *Door) fillAll() {
+	for _, all := range [2][]*server{d.lines, d.near} {
+		for _, s := range all {
+			if d.queued == 0 {
+				break
+			}
+			d.fill(s)
+		}
 	}
+	d.unline()
 }
 
 // entry takes what the list says of one backend. One that was started lately is cold.
@@ -1087,19 +1183,27 @@
 			return
 		}
 		s = &server{name: b.Name, started: -1, slots: -1}
+		s.member.Value = s
 		d.servers[b.Name] = s
+		s.ringAt = len(d.ring)
 		d.ring = append(d.ring, s)
 	}
+	s.named = d.lists
 	if b.Started != s.started {
 		s.started, s.heard, s.slow = b.Started, d.now, 1
 		s.ejected, s.trying, s.fails, s.lost = false, false, 0, 0
 		if b.Started > 0 && d.now-b.Started < d.set.WarmWithin {
-			s.cold, s.coldAt, s.slots = true, b.Started, 1
+			s.slots = 1
+			d.chill(s, b.Started)
 		}
 	}
 	s.zone, s.cell, s.weight = b.Zone, b.Cell, cmp.Or(max(0, b.Weight), 1)
-	s.listed = s.listed || b.State == InService
 	if b.State != InService {
 		d.retire(s)
+	} else if !s.listed {
+		s.listed = true
+		d.inService++
+		d.changed = append(d.changed, s)
 	}
+	d.tally(s)
 }
--- /dev/null
+++ b/fleet_test.go
@@ -0,0 +1,262 @@
+package snowhall
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// grand is the fleet to carry: backends over 7 zones.
+func grand(n int) []Backend {
+	list := backends(n)
+	for i := range list {
+		list[i].Name, list[i].Zone = fmt.Sprintf("s-%08x", i*2654435761), i%7
+	}
+	return list
+}
+
+const grandDoors = 810
+
+// shares gives by backend the part of a door's traffic that it gets from all doors, were each to share its traffic
+// out evenly, and the fewest near servers of a door when a zone is lost.
+func shares(all []*Door, lost int) (load map[string]float64, fewest int) {
+	load, fewest = map[string]float64{}, 1<<30
+	for _, d := range all {
+		left := 0
+		for _, s := range d.near {
+			load[s.name] += 1 / float64(len(d.near))
+			if s.zone != lost {
+				left++
+			}
+		}
+		fewest = min(fewest, left)
+	}
+	return load, fewest
+}
+
+func busiest(load map[string]float64, servers int) float64 {
+	most := 0.0
+	for _, v := range load {
+		most = max(most, v)
+	}
+	return most * float64(servers) / grandDoors
+}
+
+func TestSubsetsOfManyDoors(t *testing.T) {
+	for _, servers := range []int{200, 600} {
+		list := grand(servers)
+		all := make([]*Door, grandDoors)
+		for i := range all {
+			set := crowd(grandDoors)
+			set.Rank = i
+			all[i] = open(t, set, list...)
+		}
+		load, fewest := shares(all, 3)
+		if most := busiest(load, servers); len(load) != servers || most > 1.25 {
+			t.Errorf("%d servers: %d in use, the busiest gets %.2f of the mean", servers, len(load), most)
+		}
+		if fewest < nearLeast/2 {
+			t.Errorf("%d servers: a door has %d left when a zone is lost", servers, fewest)
+		}
+		before := make([]map[*server]bool, len(all))
+		changed := 0
+		for step := range 10 {
+			for i, d := range all {
+				before[i] = map[*server]bool{}
+				for _, s := range d.near {
+					before[i][s] = true
+				}
+				now := time.Duration(step+1) * time.Second
+				if b := list[step]; step%2 == 0 {
+					b.State = Terminated
+					d.Step(now, []Event{List{Entries: []Backend{b}}})
+				} else {
+					b.Name = fmt.Sprint("new", step)
+					d.Step(now, []Event{List{Entries: []Backend{b}}})
+				}
+				same := len(d.near) == len(before[i])
+				for _, s := range d.near {
+					same = same && before[i][s]
+				}
+				if !same {
+					changed++
+				}
+			}
+		}
+		if mean := float64(changed) / 10; mean > 0.12*grandDoors {
+			t.Errorf("%d servers: %.0f of %d doors change their subset when one backend comes or goes",
+				servers, mean, grandDoors)
+		} else {
+			t.Logf("%d servers: %.0f doors change, busiest %.2f, fewest without a zone %d", servers, mean,
+				busiest(load, servers), fewest)
+		}
+		load, _ = shares(all, 3)
+		if most := busiest(load, servers); len(load) != servers || most > 1.25 {
+			t.Errorf("%d servers after changes: %d in use, the busiest gets %.2f", servers, len(load), most)
+		}
+	}
+}
+
+// The subset follows from the list alone, not from how it came to be.
+func TestSubsetAfterAReplacement(t *testing.T) {
+	list := grand(600)
+	set := crowd(100)
+	set.Rank = 42
+	old := open(t, set, list[:500]...)
+	now := time.Second
+	for i := range 100 {
+		gone := list[i]
+		gone.State = Terminated
+		old.Step(now, []Event{List{Entries: []Backend{gone}}, List{Entries: list[500+i : 501+i]}})
+		now += ms
+	}
+	fresh := open(t, set, list[100:]...)
+	if len(old.near) != len(fresh.near) || len(old.ring) != 500 || old.inService != 500 {
+		t.Fatalf("%d and %d near, %d known", len(old.near), len(fresh.near), len(old.ring))
+	}
+	for _, s := range fresh.near {
+		if !old.servers[s.name].near {
+			t.Errorf("%s is near to a fresh door only", s.name)
+		}
+	}
+}
+
+// A door that loses every server and gets others works on.
+func TestListEmptiesAndFills(t *testing.T) {
+	list := grand(40)
+	d := open(t, crowd(100), list[:20]...)
+	for i := range list[:20] {
+		list[i].State = Terminated
+	}
+	d.Step(time.Second, []Event{List{Entries: list[:20]}})
+	if len(d.near)+len(d.ring)+d.inService+d.warm != 0 {
+		t.Fatalf("%d near, %d known, %d in service, %d warm", len(d.near), len(d.ring), d.inService, d.warm)
+	}
+	d.Step(2*time.Second, []Event{List{Entries: list[20:]}})
+	if sends := only[Send](d.Step(3*time.Second, []Event{ask(1, 0, 2), Timer{0}})); len(sends) != 1 {
+		t.Errorf("%d sends", len(sends))
+	}
+}
+
+// Where every near server is ejected, requests go to others, in a list of any length.
+func TestOthersServeWhereNoNearOneCan(t *testing.T) {
+	d := open(t, crowd(grandDoors), grand(2000)...)
+	for _, s := range append([]*server(nil), d.near...) {
+		d.eject(s)
+	}
+	acts := d.Step(10*ms, []Event{ask(1, 0, 2)}) // before any trial is due
+	if sends := only[Send](acts); len(sends) != 1 || d.servers[sends[0].Backend].near {
+		t.Errorf("actions: %v", acts)
+	}
+}
+
+// What is counted along the way stays what a count of all would give.
+func TestCountsAlongTheWay(t *testing.T) {
+	list := grand(60)
+	set := crowd(30)
+	d := open(t, set, list...)
+	check := func(when string) {
+		t.Helper()
+		near, warm, listed := 0, 0, 0
+		for i, s := range d.ring {
+			if s.ringAt != i || s.near && d.near[s.nearAt] != s {
+				t.Fatalf("%s: %s is not at its place", when, s.name)
+			}
+			if s.near {
+				near++
+			}
+			if s.listed {
+				listed++
+			}
+			if s.usable() && !s.cold {
+				warm++
+			}
+		}
+		if near != len(d.near) || warm != d.warm || listed != d.inService {
+			t.Fatalf("%s: %d near of %d, %d warm of %d, %d in service of %d", when, len(d.near), near, d.warm, warm,
+				d.inService, listed)
+		}
+	}
+	now := time.Second
+	for step := range 600 {
+		now += 97 * ms
+		b := list[step*7%60]
+		switch step % 5 {
+		case 0:
+			b.State = Terminated
+		case 1:
+			b.Started = now
+		case 2:
+			b.State = Terminating
+		case 3:
+			d.eject(d.servers[d.near[step%len(d.near)].name])
+		}
+		evs := []Event{ask(uint64(step), 0, 2), Timer{0}}
+		if step%5 < 3 || step%3 == 0 {
+			evs = append(evs, List{Entries: []Backend{b}})
+		}
+		if step%50 == 49 {
+			evs = append(evs, List{Scope: Whole, Entries: list[step/50:]})
+		}
+		for i, s := range only[Send](d.Step(now, evs)) {
+			if i%2 == 0 {
+				d.Step(now+20*ms, []Event{served(s, 0, 20*ms)})
+			}
+		}
+		check(fmt.Sprint("step ", step))
+	}
+}
+
+// BenchmarkDoor tells what one of 810 doors spends by the length of the list.
+func BenchmarkDoor(b *testing.B) {
+	for _, servers := range []int{14, 200, 1000, 3000, 11000} {
+		list := grand(servers)
+		fresh := func() *Door {
+			set := crowd(grandDoors)
+			set.Counter = false
+			set.Rank = 17
+			d, _ := New(set, 1)
+			d.Step(0, []Event{List{Scope: Cached, Entries: list}})
+			return d
+		}
+		b.Run(fmt.Sprintf("request/%d", servers), func(b *testing.B) {
+			d, now := fresh(), time.Duration(0)
+			for i := 0; b.Loop(); i++ {
+				now += 8 * ms
+				for _, s := range only[Send](d.Step(now, []Event{ask(uint64(i), 0, 2)})) {
+					d.Step(now+5*ms, []Event{served(s, 0, 50*ms)})
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("check/%d", servers), func(b *testing.B) {
+			d, now := fresh(), time.Duration(0)
+			for b.Loop() {
+				now += 20 * ms
+				d.Step(now, []Event{Timer{0}})
+			}
+		})
+		b.Run(fmt.Sprintf("change/%d", servers), func(b *testing.B) {
+			d, now := fresh(), time.Duration(0)
+			for i := 0; b.Loop(); i++ {
+				now += ms
+				e := list[i/2%servers]
+				if i%2 == 0 {
+					e.State = Terminated
+				}
+				d.Step(now, []Event{List{Entries: []Backend{e}}})
+			}
+		})
+		b.Run(fmt.Sprintf("again/%d", servers), func(b *testing.B) {
+			d, now := fresh(), time.Duration(0)
+			for b.Loop() {
+				now += ms
+				d.Step(now, []Event{List{Scope: Whole, Entries: list}})
+			}
+		})
+		b.Run(fmt.Sprintf("first/%d", servers), func(b *testing.B) {
+			for b.Loop() {
+				fresh()
+			}
+		})
+	}
+}
--- a/state.go
+++ b/state.go
@@ -8,31 +8,49 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"snowhall/internal/subset"
 )
 
 // What a door remembers, and how its queues are kept. Nothing here decides.
 
+// server is what a door knows of one backend. What choose looks at stands first and together: in a large fleet
+// looking at each server costs more than reckoning with what is found there.
 type server struct {
-	name                string
-	zone, cell          int
-	weight, slots, slow float64
-	listed              bool // in service, by the list
-	near                bool // one of those that this door uses while it can: see seat
-	turned              bool // it turned the last request away unseen
-	started, coldAt     time.Duration
-	cold, ejected       bool
-	coldTurn            time.Duration // no send while cold before this, where the share is under one
-	restUntil           time.Duration
-	trialAt             time.Duration
-	trialPause          time.Duration
-	trying              bool
-	fails, lost         int           // broken connections in a row; time-outs since heard
-	heard               time.Duration // last sign of life, or the moment it got work after having none
-	outs                []*attempt
-	queue               [lowest + 1][]*entry
-	count               [lowest + 1]int
-	queued              int
-	recent              []time.Duration // sends of the last cold window
+	near             bool // one of those that this door uses while it can: see seat
+	listed           bool // in service, by the list
+	cold, ejected    bool
+	trying, turned   bool // a trial is out; it turned the last request away unseen
+	zone, cell       int
+	queued           int
+	outs             []*attempt
+	weight, slots    float64
+	slow             float64
+	coldAt           time.Duration
+	restUntil        time.Duration
+	coldTurn         time.Duration   // no send while cold before this, where the share is under one
+	recent           []time.Duration // sends of the last cold window
+	name             string
+	*levels          // nil until something is queued: most servers never have anything
+	started          time.Duration
+	named            uint64 // the list that named it last
+	trialAt          time.Duration
+	trialPause       time.Duration
+	fails, lost      int           // broken connections in a row; time-outs since heard
+	heard            time.Duration // last sign of life, or the moment it got work after having none
+	member           subset.Member[*server]
+	ringAt, nearAt   int  // places in Door.ring and Door.near
+	extra            bool // near beyond what the round gave
+	watched, lined   bool // in Door.watched; in Door.lines
+	leaving, counted bool // in Door.leaving; in Door.warm
+}
+
+// levels are the queues of one server.
+type levels struct {
+	queue [lowest + 1][]*entry
+	count [lowest + 1]int
 }
 
 type entry struct{ r *request }
@@ -123,6 +141,17 @@
 	acts       []Action
 	servers    map[string]*server
 	ring       []*server
+	near       []*server // this door's subset
+	watched    []*server // those with attempts out or ejected: the check looks at these
+	lines      []*server // those with something queued, and maybe others
+	leaving    []*server // no longer in service, still to be forgotten
+	changed    []*server // by the list since the last seat
+	colds      []*server // those that were cold, the oldest first
+	extra      []*server // near by topUp
+	round      *subset.Round[*server]
+	inService  int
+	warm       int    // usable and not cold
+	lists      uint64 // lists and changes taken
 	turn       int
 	sharers    float64 // doors to which one server is near
 	queued     int     // requests in all queues
@@ -188,6 +217,13 @@
 
 func (d *Door) push(r *request, s *server) {
 	r.spot, r.on = &entry{r}, s
+	if s.levels == nil {
+		s.levels = &levels{}
+	}
+	if !s.lined {
+		s.lined = true
+		d.lines = append(d.lines, s)
+	}
 	q := s.queue[r.level]
 	if len(r.attempts) > 0 { // a further attempt has waited already
 		q = append([]*entry{r.spot}, q...)
@@ -249,9 +285,6 @@
 	return all[0]
 }
 
-// seatOrder is a server's place in the order of a round.
-func seatOrder(name string, round int) uint64 { return hash("%d %s", round, name) }
-
 // counterName is the counter's name for a quota and a window, within 63 bits.
 func counterName(h holder, window int64) uint64 {
 	return hash("%s %d %d", h.name, h.plan, window)
@@ -329,6 +362,9 @@
 // moveQueue places anew what is queued at a server that is no longer usable. All is taken out first: placing
 // one request may release others.
 func (d *Door) moveQueue(s *server) {
+	if s.queued == 0 {
+		return
+	}
 	var all []*request
 	for l := range s.queue {
 		for _, e := range s.queue[l] {
@@ -350,18 +386,21 @@
 func (d *Door) retire(s *server) {
 	if s.listed {
 		s.listed = false
+		d.inService--
+		d.changed = append(d.changed, s)
+		d.tally(s)
 		d.moveQueue(s)
 	}
+	if !s.leaving {
+		s.leaving = true
+		d.leaving = append(d.leaving, s)
+	}
 }
 
 // retireMissing takes servers that a whole list leaves out as gone.
-func (d *Door) retireMissing(list []Backend) {
-	named := map[string]bool{}
-	for _, b := range list {
-		named[b.Name] = true
-	}
+func (d *Door) retireMissing() {
 	for _, s := range d.ring {
-		if !named[s.name] {
+		if s.named != d.lists {
 			d.retire(s)
 		}
 	}
@@ -369,15 +408,120 @@
 
 // prune forgets servers that are gone and owe no outcome.
 func (d *Door) prune() {
-	kept := d.ring[:0:0]
+	kept := d.leaving[:0]
+	for _, s := range d.leaving {
+		switch {
+		case s.listed: // it is back
+			s.leaving = false
+		case len(s.outs) > 0:
+			kept = append(kept, s)
+		default:
+			last := len(d.ring) - 1
+			d.ring[s.ringAt], d.ring[last].ringAt = d.ring[last], s.ringAt
+			d.ring[last] = nil
+			d.ring = d.ring[:last]
+			delete(d.servers, s.name)
+		}
+	}
+	clear(d.leaving[len(kept):])
+	d.leaving = kept
+}
+
+// newRound deals all servers out anew over so many seats.
+func (d *Door) newRound(seats int) {
+	for _, s := range d.ring {
+		if s.member.Seated() {
+			s.member = subset.Member[*server]{Value: s}
+			if s.near && !s.extra {
+				d.setNear(s, false)
+			}
+		}
+	}
+	d.round = subset.New(uint64(d.set.Rank/seats), seats, d.set.Rank%seats, nearSlack, func(s *server, in bool) {
+		if !s.extra {
+			d.setNear(s, in)
+		}
+		s.extra = false
+	})
 	for _, s := range d.ring {
-		if s.listed || len(s.outs) > 0 {
+		if s.listed {
+			d.round.Add(&s.member, s.name)
+		}
+	}
+}
+
+// setNear puts a server into this door's subset or takes it out.
+func (d *Door) setNear(s *server, near bool) {
+	if s.near == near {
+		return
+	}
+	if s.near = near; near {
+		s.nearAt = len(d.near)
+		d.near = append(d.near, s)
+		return
+	}
+	last := len(d.near) - 1
+	d.near[s.nearAt], d.near[last].nearAt = d.near[last], s.nearAt
+	d.near[last] = nil
+	d.near = d.near[:last]
+}
+
+// ownOrder is a server's place in this door's own order.
+func (d *Door) ownOrder(s *server) uint64 {
+	return subset.Mix(xxhash.Sum64String(s.name), uint64(d.set.Rank)<<32)
+}
+
+// watch has the check look at a server.
+func (d *Door) watch(s *server) {
+	if !s.watched {
+		s.watched = true
+		d.watched = append(d.watched, s)
+	}
+}
+
+// unwatch drops those that need no look any more.
+func (d *Door) unwatch() {
+	kept := d.watched[:0]
+	for _, s := range d.watched {
+		if s.watched = len(s.outs) > 0 || s.ejected && s.listed; s.watched {
 			kept = append(kept, s)
+		}
+	}
+	clear(d.watched[len(kept):])
+	d.watched = kept
+	for len(d.colds) > 0 && d.warmth(d.colds[0]) >= 1 {
+		d.colds = d.colds[1:]
+	}
+}
+
+// unline drops servers with nothing queued.
+func (d *Door) unline() {
+	kept := d.lines[:0]
+	for _, s := range d.lines {
+		if s.lined = s.queued > 0; s.lined {
+			kept = append(kept, s)
+		}
+	}
+	clear(d.lines[len(kept):])
+	d.lines = kept
+}
+
+// chill counts a server as cold since a time.
+func (d *Door) chill(s *server, since time.Duration) {
+	s.cold, s.coldAt = true, since
+	d.colds = append(d.colds, s)
+	d.tally(s)
+}
+
+// tally keeps the number of warm servers.
+func (d *Door) tally(s *server) {
+	if is := s.usable() && !s.cold; is != s.counted {
+		if s.counted = is; is {
+			d.warm++
 		} else {
-			delete(d.servers, s.name)
+			d.warm--
 		}
 	}
-	d.ring = kept
 }
 
 func (d *Door) customer(ev Request) *customer {
@@ -401,14 +545,8 @@
 
 // rateAdd keeps the mean rate of what a warm server carries: answers, as under overload more is sent.
 func (d *Door) rateAdd() {
-	n := 0.0
-	for _, s := range d.ring {
-		if s.usable() && !s.cold {
-			n++
-		}
-	}
 	gap := (d.now - d.rateAt).Seconds() / rateOver
-	d.rate = d.rate*math.Exp(-gap) + 1/(rateOver*max(1, n))
+	d.rate = d.rate*math.Exp(-gap) + 1/(rateOver*float64(max(1, d.warm)))
 	d.rateAt = d.now
 }
 
@@ -453,6 +591,7 @@
 	age := float64(d.now - s.coldAt)
 	if !s.cold || age >= float64(d.set.WarmWithin) {
 		s.cold, s.recent, s.coldTurn = false, nil, 0
+		d.tally(s)
 		return 1
 	}
 	return d.set.ColdFrom + (1-d.set.ColdFrom)*max(0, age)/float64(d.set.WarmWithin)
