--- a/door.go
+++ b/door.go
@@ -34,15 +34,15 @@
 	thinAll     = 0.6                     // ... and at which all are ...
 	thinMost    = 0.97                    // ... but for a few, whose answers tell when it is over
 	thinSlope   = 1.5                     // what the lowest level adds to that part, as a multiple
-	sharersMost = 16.0                    // doors to which one server is near: their traffic is even in sum
-	nearLeast   = 8                       // servers near to a door at least, so that one lost is no great part
-	nearMany    = 4 * nearLeast           // so many are of all zones by chance alone
-	nearSlack   = 0.0625                  // what a door may have over the mean of them: few change when one goes
-	roundStays  = 0.75                    // part of nearLeast at which the doors of a round become fewer
-	lookNear    = 32                      // near servers compared for a request: as good as all, and smaller ...
-	lookFar     = 256                     // ... fleets are seen whole; others looked at if none near can serve
+	sharersMost = 16.0                    // doors that have one server in their subsets: even in sum
+	subsetLeast = 8                       // servers of a subset at least, so that one lost is no great part
+	subsetMany  = 4 * subsetLeast         // so many are of all zones by chance alone
+	subsetSlack = 0.0625                  // what a door may have over the mean of them: few change when one goes
+	roundStays  = 0.75                    // part of subsetLeast at which the doors of a round become fewer
+	lookInside  = 32                      // servers of the subset compared for a request: as good as all ...
+	lookOutside = 256                     // ... others looked at if none can; both see small fleets whole
 	costBusy    = 1e3                     // added to the cost of a server with no free slot ...
-	costFar     = 1e4                     // ... of one that is not near ...
+	costOutside = 1e4                     // ... of one outside the subset ...
 	costCold    = 1e6                     // ... and of one whose cold budget is spent
 	slotsStart  = 4.0                     // slots of a server at first, over all doors
 	slotsMost   = 32.0                    // slots at most
@@ -502,7 +502,7 @@
 // thin says from 0 to 1 how little a door learns of one server by its own sends.
 func (d *Door) thin() float64 { return 1 - min(1, d.met()/evidence) }
 
-// met is this door's part, in answers a second, of what a warm server carries for the doors it is near to.
+// met is this door's part, in answers a second, of what a warm server carries for the doors that have it.
 func (d *Door) met() float64 {
 	gap := (d.now - d.rateAt).Seconds() / rateOver
 	return d.rate * math.Exp(-gap) * float64(d.set.Doors) / d.sharers
@@ -512,35 +512,35 @@
 // one in its pause. It looks at a bounded part of the fleet, however large that is.
 func (d *Door) choose(r *request) *server {
 	d.turn++
-	best, low := d.cheapest(r, d.near, lookNear, true)
-	if low >= costFar {
-		if far, cost := d.cheapest(r, d.ring, lookFar, false); cost < low {
+	best, low := d.cheapest(r, d.subset, lookInside, true)
+	if low >= costOutside {
+		if far, cost := d.cheapest(r, d.ring, lookOutside, false); cost < low {
 			best = far
 		}
 	}
 	return best
 }
 
-// cheapest looks through servers from this turn's on, near ones until it has compared so many and found one
-// that is free, others until it has looked at so many. Where a door sends to each so rarely that what it
-// knows is old or luck, chance has a part (a departure: then all doors together give each server by its
-// weight and speed; none is found by all).
-func (d *Door) cheapest(r *request, all []*server, most int, near bool) (best *server, low float64) {
+// cheapest looks through servers from this turn's on, those inside the subset until it has compared so many
+// and found one that is free, those outside until it has looked at so many. Where a door sends to each so
+// rarely that what it knows is old or luck, chance has a part (a departure: then all doors together give each
+// server by its weight and speed; none is found by all).
+func (d *Door) cheapest(r *request, all []*server, most int, inside bool) (best *server, low float64) {
 	low = math.Inf(1)
 	chance := d.thin()
 	for i := range all {
-		if most <= 0 && (!near || low < costBusy) {
+		if most <= 0 && (!inside || low < costBusy) {
 			break
 		}
 		s := all[(d.turn+i)%len(all)]
-		if !near {
+		if !inside {
 			most--
 		}
-		if s.near != near || !s.usable() || !d.mayRepeat(r, s) {
+		if s.inSubset != inside || !s.usable() || !d.mayRepeat(r, s) {
 			continue
 		}
 		warm := d.warmth(s)
-		if !near && warm < 1 { // its cold budget belongs to the doors that it is near to
+		if !inside && warm < 1 { // its cold budget is that of the doors that have it
 			continue
 		}
 		cost := (float64(len(s.outs)+s.queued) + 1) * s.slow / (s.weight * warm)
@@ -553,13 +553,13 @@
 		if !d.free(s) {
 			cost = cost*10/min(1, s.slots) + costBusy
 		}
-		if near {
+		if inside {
 			most--
 			if d.coldFull(s) {
 				cost += costCold
 			}
 		} else {
-			cost += costFar
+			cost += costOutside
 		}
 		if cost < low-1e-9 {
 			best, low = s, cost
@@ -568,19 +568,19 @@
 	return best, low
 }
 
-// seat picks the servers that are near, the door's subset: those that it uses while it can (a departure: many
-// doors; were each to use all, a server's connections and handshakes would grow with the doors, and each door
-// would meet it too seldom to know it). The doors of one round share out the whole list, so every server is
-// near to as many doors. They do so by consistent hashing with bounded loads: a change of the list moves few.
+// seat picks the door's subset: the servers that it uses while it can (a departure: many doors; were each to
+// use all, a server's connections and handshakes would grow with the doors, and each door would meet it too
+// seldom to know it). The doors of one round share out the whole list, so every server is in as many subsets.
+// They do so by consistent hashing with bounded loads: a change of the list moves few.
 func (d *Door) seat() {
 	seats := max(1, int(math.Round(float64(d.set.Doors)/sharersMost)))
-	fits := max(1, coarse(d.inService/nearLeast))
-	if d.round != nil && float64(d.inService) >= roundStays*nearLeast*float64(d.round.Seats()) {
+	fits := max(1, coarse(d.inService/subsetLeast))
+	if d.round != nil && float64(d.inService) >= roundStays*subsetLeast*float64(d.round.Seats()) {
 		fits = max(fits, d.round.Seats())
 	}
 	seats = min(seats, fits)
 	d.sharers = max(1, float64(d.set.Doors)/float64(seats))
-	for _, s := range d.changed {
+	for _, s := range d.relisted {
 		if !s.listed && s.member.Seated() {
 			d.round.Remove(&s.member)
 		}
@@ -588,7 +588,7 @@
 	if d.round == nil || d.round.Seats() != seats {
 		d.newRound(seats)
 	}
-	for _, s := range d.changed {
+	for _, s := range d.relisted {
 		if s.listed && !s.member.Seated() {
 			d.round.Add(&s.member, s.name)
 		}
@@ -597,7 +597,7 @@
 			d.tally(s)
 		}
 	}
-	d.changed = d.changed[:0]
+	d.relisted = d.relisted[:0]
 	d.topUp()
 }
 
@@ -614,14 +614,14 @@
 	for _, s := range d.extra {
 		if s.extra {
 			s.extra = false
-			d.setNear(s, false)
+			d.setInSubset(s, false)
 		}
 	}
 	d.extra = d.extra[:0]
 	for zone, short := d.shortOf(); short; zone, short = d.shortOf() {
 		var best *server
 		for _, s := range d.ring {
-			if s.listed && !s.near && s.zone != zone && (best == nil || d.ownOrder(s) < d.ownOrder(best)) {
+			if s.listed && !s.inSubset && s.zone != zone && (best == nil || d.ownOrder(s) < d.ownOrder(best)) {
 				best = s
 			}
 		}
@@ -630,26 +630,26 @@
 		}
 		best.extra = true
 		d.extra = append(d.extra, best)
-		d.setNear(best, true)
+		d.setInSubset(best, true)
 	}
 }
 
-// shortOf says whether a door has too few near servers: outside of a zone, or (-1) in all.
+// shortOf says whether a subset has too few servers: outside of a zone, or (-1) in all.
 func (d *Door) shortOf() (zone int, short bool) {
-	if len(d.near) < min(nearLeast, d.inService) {
+	if len(d.subset) < min(subsetLeast, d.inService) {
 		return -1, true
 	}
-	if len(d.near) >= nearMany {
+	if len(d.subset) >= subsetMany {
 		return 0, false
 	}
-	for _, s := range d.near {
+	for _, s := range d.subset {
 		in := 0
-		for _, o := range d.near {
+		for _, o := range d.subset {
 			if o.zone == s.zone {
 				in++
 			}
 		}
-		if len(d.near)-in < nearLeast/2 {
+		if len(d.subset)-in < subsetLeast/2 {
 			return s.zone, true
 		}
 	}
@@ -729,7 +729,7 @@
 func (d *Door) fill(s *server) {
 	for s.usable() && d.free(s) && !d.coldFull(s) {
 		from := s
-		if s.queued == 0 && (d.queued == 0 || !s.near) {
+		if s.queued == 0 && (d.queued == 0 || !s.inSubset) {
 			return
 		} else if s.queued == 0 {
 			for _, o := range d.lines {
@@ -938,15 +938,15 @@
 	}
 }
 
-// mostTurn says whether half of the near servers have turned the last request away.
+// mostTurn says whether half of the subset's servers have turned the last request away.
 func (d *Door) mostTurn() bool {
 	turned := 0
-	for _, s := range d.near {
+	for _, s := range d.subset {
 		if s.turned {
 			turned++
 		}
 	}
-	return 2*turned >= len(d.near)
+	return 2*turned >= len(d.subset)
 }
 
 // pace grows the slots while latency is well under tau*f and all are in use, and shrinks them when it is not.
@@ -1065,14 +1065,14 @@
 		return
 	}
 	live := 0
-	for i, all := range [2][]*server{d.near, d.watched} {
+	for i, all := range [2][]*server{d.subset, d.watched} {
 		for _, o := range all {
-			if (i == 0 || !o.near) && o.usable() && o.heard > s.heard && d.now-o.heard < 500*time.Millisecond {
+			if (i == 0 || !o.inSubset) && o.usable() && o.heard > s.heard && d.now-o.heard < 500*time.Millisecond {
 				live++
 			}
 		}
 	}
-	if 4*live >= len(d.near) && live > 0 {
+	if 4*live >= len(d.subset) && live > 0 {
 		d.eject(s)
 	}
 }
@@ -1109,7 +1109,7 @@
 		return nil
 	}
 	for _, s := range d.watched {
-		if s.listed && s.near && s.ejected && !s.trying && d.now >= s.trialAt && !d.coldFull(s) {
+		if s.listed && s.inSubset && s.ejected && !s.trying && d.now >= s.trialAt && !d.coldFull(s) {
 			return s
 		}
 	}
@@ -1164,7 +1164,7 @@
 
 // fillAll releases what is queued: first each server its own, then those with nothing queued help.
 func (d *Door) fillAll() {
-	for _, all := range [2][]*server{d.lines, d.near} {
+	for _, all := range [2][]*server{d.lines, d.subset} {
 		for _, s := range all {
 			if d.queued == 0 {
 				break
@@ -1203,7 +1203,7 @@
 	} else if !s.listed {
 		s.listed = true
 		d.inService++
-		d.changed = append(d.changed, s)
+		d.relisted = append(d.relisted, s)
 	}
 	d.tally(s)
 }
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -18,13 +18,13 @@
 const grandDoors = 810
 
 // shares gives by backend the part of a door's traffic that it gets from all doors, were each to share its traffic
-// out evenly, and the fewest near servers of a door when a zone is lost.
+// out evenly, and the fewest servers left of a subset when a zone is lost.
 func shares(all []*Door, lost int) (load map[string]float64, fewest int) {
 	load, fewest = map[string]float64{}, 1<<30
 	for _, d := range all {
 		left := 0
-		for _, s := range d.near {
-			load[s.name] += 1 / float64(len(d.near))
+		for _, s := range d.subset {
+			load[s.name] += 1 / float64(len(d.subset))
 			if s.zone != lost {
 				left++
 			}
@@ -55,7 +55,7 @@
 		if most := busiest(load, servers); len(load) != servers || most > 1.25 {
 			t.Errorf("%d servers: %d in use, the busiest gets %.2f of the mean", servers, len(load), most)
 		}
-		if fewest < nearLeast/2 {
+		if fewest < subsetLeast/2 {
 			t.Errorf("%d servers: a door has %d left when a zone is lost", servers, fewest)
 		}
 		before := make([]map[*server]bool, len(all))
@@ -63,7 +63,7 @@
 		for step := range 10 {
 			for i, d := range all {
 				before[i] = map[*server]bool{}
-				for _, s := range d.near {
+				for _, s := range d.subset {
 					before[i][s] = true
 				}
 				now := time.Duration(step+1) * time.Second
@@ -74,8 +74,8 @@
 					b.Name = fmt.Sprint("new", step)
 					d.Step(now, []Event{List{Entries: []Backend{b}}})
 				}
-				same := len(d.near) == len(before[i])
-				for _, s := range d.near {
+				same := len(d.subset) == len(before[i])
+				for _, s := range d.subset {
 					same = same && before[i][s]
 				}
 				if !same {
@@ -111,12 +111,12 @@
 		now += ms
 	}
 	fresh := open(t, set, list[100:]...)
-	if len(old.near) != len(fresh.near) || len(old.ring) != 500 || old.inService != 500 {
-		t.Fatalf("%d and %d near, %d known", len(old.near), len(fresh.near), len(old.ring))
+	if len(old.subset) != len(fresh.subset) || len(old.ring) != 500 || old.inService != 500 {
+		t.Fatalf("subsets of %d and %d, %d known", len(old.subset), len(fresh.subset), len(old.ring))
 	}
-	for _, s := range fresh.near {
-		if !old.servers[s.name].near {
-			t.Errorf("%s is near to a fresh door only", s.name)
+	for _, s := range fresh.subset {
+		if !old.servers[s.name].inSubset {
+			t.Errorf("%s is in a fresh door's subset only", s.name)
 		}
 	}
 }
@@ -129,8 +129,8 @@
 		list[i].State = Terminated
 	}
 	d.Step(time.Second, []Event{List{Entries: list[:20]}})
-	if len(d.near)+len(d.ring)+d.inService+d.warm != 0 {
-		t.Fatalf("%d near, %d known, %d in service, %d warm", len(d.near), len(d.ring), d.inService, d.warm)
+	if len(d.subset)+len(d.ring)+d.inService+d.warm != 0 {
+		t.Fatalf("%d in the subset, %d known, %d in service, %d warm", len(d.subset), len(d.ring), d.inService, d.warm)
 	}
 	d.Step(2*time.Second, []Event{List{Entries: list[20:]}})
 	if sends := only[Send](d.Step(3*time.Second, []Event{ask(1, 0, 2), Timer{0}})); len(sends) != 1 {
@@ -138,14 +138,14 @@
 	}
 }
 
-// Where every near server is ejected, requests go to others, in a list of any length.
+// Where every server of the subset is ejected, requests go to others, in a list of any length.
 func TestOthersServeWhereNoNearOneCan(t *testing.T) {
 	d := open(t, crowd(grandDoors), grand(2000)...)
-	for _, s := range append([]*server(nil), d.near...) {
+	for _, s := range append([]*server(nil), d.subset...) {
 		d.eject(s)
 	}
 	acts := d.Step(10*ms, []Event{ask(1, 0, 2)}) // before any trial is due
-	if sends := only[Send](acts); len(sends) != 1 || d.servers[sends[0].Backend].near {
+	if sends := only[Send](acts); len(sends) != 1 || d.servers[sends[0].Backend].inSubset {
 		t.Errorf("actions: %v", acts)
 	}
 }
@@ -157,13 +157,13 @@
 	d := open(t, set, list...)
 	check := func(when string) {
 		t.Helper()
-		near, warm, listed := 0, 0, 0
+		inside, warm, listed := 0, 0, 0
 		for i, s := range d.ring {
-			if s.ringAt != i || s.near && d.near[s.nearAt] != s {
+			if s.ringAt != i || s.inSubset && d.subset[s.subsetAt] != s {
 				t.Fatalf("%s: %s is not at its place", when, s.name)
 			}
-			if s.near {
-				near++
+			if s.inSubset {
+				inside++
 			}
 			if s.listed {
 				listed++
@@ -172,8 +172,8 @@
 				warm++
 			}
 		}
-		if near != len(d.near) || warm != d.warm || listed != d.inService {
-			t.Fatalf("%s: %d near of %d, %d warm of %d, %d in service of %d", when, len(d.near), near, d.warm, warm,
+		if inside != len(d.subset) || warm != d.warm || listed != d.inService {
+			t.Fatalf("%s: subset of %d, %d, %d warm of %d, %d in service of %d", when, len(d.subset), inside, d.warm, warm,
 				d.inService, listed)
 		}
 	}
@@ -189,7 +189,7 @@
 		case 2:
 			b.State = Terminating
 		case 3:
-			d.eject(d.servers[d.near[step%len(d.near)].name])
+			d.eject(d.servers[d.subset[step%len(d.subset)].name])
 		}
 		evs := []Event{ask(uint64(step), 0, 2), Timer{0}}
 		if step%5 < 3 || step%3 == 0 {
--- a/state.go
+++ b/state.go
@@ -19,7 +19,7 @@
 // server is what a door knows of one backend. What choose looks at stands first and together: in a large fleet
 // looking at each server costs more than reckoning with what is found there.
 type server struct {
-	near             bool // one of those that this door uses while it can: see seat
+	inSubset         bool // one of those that this door uses while it can: see seat
 	listed           bool // in service, by the list
 	cold, ejected    bool
 	trying, turned   bool // a trial is out; it turned the last request away unseen
@@ -41,8 +41,8 @@
 	fails, lost      int           // broken connections in a row; time-outs since heard
 	heard            time.Duration // last sign of life, or the moment it got work after having none
 	member           subset.Member[*server]
-	ringAt, nearAt   int  // places in Door.ring and Door.near
-	extra            bool // near beyond what the round gave
+	ringAt, subsetAt int  // places in Door.ring and Door.inSubset
+	extra            bool // in the subset by topUp
 	watched, lined   bool // in Door.watched; in Door.lines
 	leaving, counted bool // in Door.leaving; in Door.warm
 }
@@ -141,19 +141,19 @@
 	acts       []Action
 	servers    map[string]*server
 	ring       []*server
-	near       []*server // this door's subset
+	subset     []*server // those that this door uses while it can
 	watched    []*server // those with attempts out or ejected: the check looks at these
 	lines      []*server // those with something queued, and maybe others
 	leaving    []*server // no longer in service, still to be forgotten
-	changed    []*server // by the list since the last seat
+	relisted   []*server // come or gone since the last seat
 	colds      []*server // those that were cold, the oldest first
-	extra      []*server // near by topUp
+	extra      []*server // in the subset by topUp
 	round      *subset.Round[*server]
 	inService  int
 	warm       int    // usable and not cold
 	lists      uint64 // lists and changes taken
 	turn       int
-	sharers    float64 // doors to which one server is near
+	sharers    float64 // doors that have one server in their subsets
 	queued     int     // requests in all queues
 	reqs       map[uint64]*request
 	customers  map[holder]*customer
@@ -387,7 +387,7 @@
 	if s.listed {
 		s.listed = false
 		d.inService--
-		d.changed = append(d.changed, s)
+		d.relisted = append(d.relisted, s)
 		d.tally(s)
 		d.moveQueue(s)
 	}
@@ -432,14 +432,14 @@
 	for _, s := range d.ring {
 		if s.member.Seated() {
 			s.member = subset.Member[*server]{Value: s}
-			if s.near && !s.extra {
-				d.setNear(s, false)
+			if s.inSubset && !s.extra {
+				d.setInSubset(s, false)
 			}
 		}
 	}
-	d.round = subset.New(uint64(d.set.Rank/seats), seats, d.set.Rank%seats, nearSlack, func(s *server, in bool) {
+	d.round = subset.New(uint64(d.set.Rank/seats), seats, d.set.Rank%seats, subsetSlack, func(s *server, in bool) {
 		if !s.extra {
-			d.setNear(s, in)
+			d.setInSubset(s, in)
 		}
 		s.extra = false
 	})
@@ -450,20 +450,20 @@
 	}
 }
 
-// setNear puts a server into this door's subset or takes it out.
-func (d *Door) setNear(s *server, near bool) {
-	if s.near == near {
+// setInSubset puts a server into this door's subset or takes it out.
+func (d *Door) setInSubset(s *server, in bool) {
+	if s.inSubset == in {
 		return
 	}
-	if s.near = near; near {
-		s.nearAt = len(d.near)
-		d.near = append(d.near, s)
+	if s.inSubset = in; in {
+		s.subsetAt = len(d.subset)
+		d.subset = append(d.subset, s)
 		return
 	}
-	last := len(d.near) - 1
-	d.near[s.nearAt], d.near[last].nearAt = d.near[last], s.nearAt
-	d.near[last] = nil
-	d.near = d.near[:last]
+	last := len(d.subset) - 1
+	d.subset[s.subsetAt], d.subset[last].subsetAt = d.subset[last], s.subsetAt
+	d.subset[last] = nil
+	d.subset = d.subset[:last]
 }
 
 // ownOrder is a server's place in this door's own order.
