Take a cold backend's budget by its weight against the warm ones

Seen with 30 doors and 14 backends of weight 8, as much asked for as they carry: all but three restart, all doors learn of it at once, and one of them gets 78 requests within a window; N is 50, the bound N + 2 x root of N + 2 is 66. With weight 1 it was 48.

Cause: coldFull multiplied what a warm server is seen to carry, which is a mean over servers, by the cold server's weight itself. Weights are only to be compared with each other: where they are sizes, a budget was as many times too large. The mean weight of the warm servers now divides it.

TestColdBudgetHoldsForTheFleet counts the sum of all doors, 3, 30 and 810 of them, under even and uneven traffic, with simulated answers, over one backend restarted, one new, a zone, all but three, all, fresh doors, one back from silence unannounced, and a burst. It fails without the mend in the case told above and in no other. After it that case gets 48 of 52, as with weight 1.

--- a/door.go
+++ b/door.go
@@ -695,16 +695,16 @@
 }
 
 // coldFull says that a cold server has had its budget: this door's share of multiple x present capacity x
-// window, the capacity taken for no more than what a warm server is seen to carry. A share of under one send
-// (a departure: many doors) is a rarer turn, the first at a time by chance, as all doors learn of a start
-// together. It can leave a server that only this door knows of idle for a while.
+// window, the capacity taken for no more than what a warm server of its weight is seen to carry. A share of
+// under one send (a departure: many doors) is a rarer turn, the first at a time by chance, as all doors learn
+// of a start together. It can leave a server that only this door knows of idle for a while.
 func (d *Door) coldFull(s *server) bool {
 	w := d.warmth(s)
 	if w >= 1 {
 		return false
 	}
 	span := d.set.FallWindow.Seconds()
-	budget := coldMargin * d.set.FallMultiple * w * d.met() * s.weight * span
+	budget := coldMargin * d.set.FallMultiple * w * d.met() * span * s.weight / cmp.Or(d.weight, s.weight)
 	if budget < 1 {
 		span = min(span/budget, d.set.WarmWithin.Seconds())
 		budget = 1
--- a/state.go
+++ b/state.go
@@ -146,6 +146,7 @@
 	mostSaved  float64 // by a counter call
 	rate       float64 // answers a second of a warm server
 	rateAt     time.Duration
+	weight     float64 // mean weight of the warm servers
 	listAt     time.Duration
 	listWait   time.Duration
 	listAsked  bool
@@ -401,12 +402,16 @@
 
 // rateAdd keeps the mean rate of what a warm server carries: answers, as under overload more is sent.
 func (d *Door) rateAdd() {
-	n := 0.0
+	n, weight := 0.0, 0.0
 	for _, s := range d.ring {
 		if s.usable() && !s.cold {
 			n++
+			weight += s.weight
 		}
 	}
+	if n > 0 {
+		d.weight = weight / n
+	}
 	gap := (d.now - d.rateAt).Seconds() / rateOver
 	d.rate = d.rate*math.Exp(-gap) + 1/(rateOver*max(1, n))
 	d.rateAt = d.now
