--- a/door.go
+++ b/door.go
@@ -38,7 +38,7 @@
 	subsetLeast = 8                       // servers of a subset at least, so that one lost is no great part
 	subsetMany  = 4 * subsetLeast         // so many are of all zones by chance alone
 	subsetSlack = 0.0625                  // what a door may have over the mean of them: few change when one goes
-	roundStays  = 0.75                    // part of subsetLeast at which the doors of a round become fewer
+	roundStays  = 0.6                     // part of subsetLeast at which the doors of a round become fewer
 	lookInside  = 32                      // servers of the subset compared for a request: as good as all ...
 	lookOutside = 256                     // ... others looked at if none can; both see small fleets whole
 	costBusy    = 1e3                     // added to the cost of a server with no free slot ...
@@ -503,7 +503,11 @@
 func (d *Door) thin() float64 { return 1 - min(1, d.met()/evidence) }
 
 // met is this door's part, in answers a second, of what a warm server carries for the doors that have it.
+// While there is no warm one to tell, the last figure stands.
 func (d *Door) met() float64 {
+	if d.warm == 0 {
+		d.rateAt = d.now
+	}
 	gap := (d.now - d.rateAt).Seconds() / rateOver
 	return d.rate * math.Exp(-gap) * float64(d.set.Doors) / d.sharers
 }
@@ -574,12 +578,13 @@
 // They do so by consistent hashing with bounded loads: a change of the list moves few.
 func (d *Door) seat() {
 	seats := max(1, int(math.Round(float64(d.set.Doors)/sharersMost)))
-	fits := max(1, coarse(d.inService/subsetLeast))
+	fits := max(1, coarse((d.inService+subsetLeast/2)/subsetLeast))
 	if d.round != nil && float64(d.inService) >= roundStays*subsetLeast*float64(d.round.Seats()) {
 		fits = max(fits, d.round.Seats())
 	}
 	seats = min(seats, fits)
-	d.sharers = max(1, float64(d.set.Doors)/float64(seats))
+	each := max(float64(d.inService)/float64(seats), float64(min(subsetLeast, d.inService)))
+	d.sharers = max(1, float64(d.set.Doors)*each/float64(max(1, d.inService)))
 	for _, s := range d.relisted {
 		if !s.listed && s.member.Seated() {
 			d.round.Remove(&s.member)
@@ -782,16 +787,16 @@
 }
 
 // coldFull says that a cold server has had its budget: this door's share of multiple x present capacity x
-// window, the capacity taken for no more than what a warm server is seen to carry. A share of under one send
-// (a departure: many doors) is a rarer turn, the first at a time by chance, as all doors learn of a start
-// together. It can leave a server that only this door knows of idle for a while.
+// window, the capacity taken for no more than what a warm server of its weight is seen to carry. A share of
+// under one send (a departure: many doors) is a rarer turn, the first at a time by chance, as all doors learn
+// of a start together. It can leave a server that only this door knows of idle for a while.
 func (d *Door) coldFull(s *server) bool {
 	w := d.warmth(s)
 	if w >= 1 {
 		return false
 	}
 	span := d.set.FallWindow.Seconds()
-	budget := coldMargin * d.set.FallMultiple * w * d.met() * s.weight * span
+	budget := coldMargin * d.set.FallMultiple * w * d.met() * span * s.weight / cmp.Or(d.weight, s.weight)
 	if budget < 1 {
 		span = min(span/budget, d.set.WarmWithin.Seconds())
 		budget = 1
--- a/state.go
+++ b/state.go
@@ -41,10 +41,11 @@
 	fails, lost      int           // broken connections in a row; time-outs since heard
 	heard            time.Duration // last sign of life, or the moment it got work after having none
 	member           subset.Member[*server]
-	ringAt, subsetAt int  // places in Door.ring and Door.inSubset
-	extra            bool // in the subset by topUp
-	watched, lined   bool // in Door.watched; in Door.lines
-	leaving, counted bool // in Door.leaving; in Door.warm
+	ringAt, subsetAt int     // places in Door.ring and Door.inSubset
+	extra            bool    // in the subset by topUp
+	watched, lined   bool    // in Door.watched; in Door.lines
+	leaving, counted bool    // in Door.leaving; in Door.warm ...
+	countedAs        float64 // ... with this weight
 }
 
 // levels are the queues of one server.
@@ -150,8 +151,9 @@
 	extra      []*server // in the subset by topUp
 	round      *subset.Round[*server]
 	inService  int
-	warm       int    // usable and not cold
-	lists      uint64 // lists and changes taken
+	warm       int     // usable and not cold ...
+	warmWeight float64 // ... and their weights
+	lists      uint64  // lists and changes taken
 	turn       int
 	sharers    float64 // doors that have one server in their subsets
 	queued     int     // requests in all queues
@@ -175,6 +177,7 @@
 	mostSaved  float64 // by a counter call
 	rate       float64 // answers a second of a warm server
 	rateAt     time.Duration
+	weight     float64 // mean weight of the warm servers
 	listAt     time.Duration
 	listWait   time.Duration
 	listAsked  bool
@@ -513,14 +516,19 @@
 	d.tally(s)
 }
 
-// tally keeps the number of warm servers.
+// tally keeps the number of warm servers and the sum of their weights.
 func (d *Door) tally(s *server) {
-	if is := s.usable() && !s.cold; is != s.counted {
-		if s.counted = is; is {
-			d.warm++
-		} else {
-			d.warm--
-		}
+	if s.counted {
+		d.warm--
+		d.warmWeight -= s.countedAs
+	}
+	if s.counted = s.usable() && !s.cold; s.counted {
+		d.warm++
+		s.countedAs = s.weight
+		d.warmWeight += s.countedAs
+	}
+	if d.warm == 0 {
+		d.warmWeight = 0 // of rounding
 	}
 }
 
@@ -545,6 +553,9 @@
 
 // rateAdd keeps the mean rate of what a warm server carries: answers, as under overload more is sent.
 func (d *Door) rateAdd() {
+	if d.warm > 0 {
+		d.weight = d.warmWeight / float64(d.warm)
+	}
 	gap := (d.now - d.rateAt).Seconds() / rateOver
 	d.rate = d.rate*math.Exp(-gap) + 1/(rateOver*float64(max(1, d.warm)))
 	d.rateAt = d.now
