Take whole lists of 11,000 backends, entry by entry, in bounded parts

Cause: a watch's list was decoded as one text of at most 1 MiB (mostList). A list of 11,000 backends has 1.54 MB, or 2.97 MB indented. Raising it would have left the whole text in memory, and the whole list in one task of the loop and one Step.

Change: a list is read as a stream, its fields in any order. What is bounded is one entry (8 KiB) and their number (32,768). The reader hands the loop 64 entries a task, waits until they are taken, and lets others run after 32. A list of up to 256 entries still reaches the Door at once. The loop keeps what it has told of each backend: only what differs is told, as a change, and what a whole list has left out is swept at its end as gone. A list that is cut off, is nonsense or comes from a watch that was moved retires nobody and moves no index. Lists that are asked for are numbered when they are, so an older one does not undo what the watch has brought meanwhile; they no longer move the watch's index. Only a sign between lists or a whole entry now counts as a sign of life, from the call's start.

TestEndlessListEndsTheWatch keeps its 64 MiB, as a number, since mostList is gone.

--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -118,20 +118,6 @@
 	}
 }
 
-// keepOnly retires the backends that a whole list leaves out.
-func (bs *backends) keepOnly(list []snowhall.Backend) {
-	named := map[string]bool{}
-	for _, e := range list {
-		named[e.Name] = true
-	}
-	for _, b := range bs.all {
-		if !named[b.name] {
-			b.listed = false
-			bs.retire(b)
-		}
-	}
-}
-
 // retire sees to it that nothing new reaches a backend that drains or is gone. An attempt that still waits for
 // its connection would be written when that comes up, perhaps after the grace: it is taken back unsent.
 func (bs *backends) retire(b *backend) {
--- a/internal/front/discovery.go
+++ b/internal/front/discovery.go
@@ -1,13 +1,10 @@
 package front
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -19,11 +16,8 @@
 	watchSilence = 3 * time.Second        // a watch gives a sign every 2 s; one silent for so long is dead
 	rewatchAfter = 50 * time.Millisecond  // what the agent has counts as told: sends must end 250 ms later
 	rewatchMost  = 500 * time.Millisecond // where it only says what makes no sense
-	mostList     = 1 << 20                // bytes of a list
 )
 
-var errNonsense = errors.New("what discovery says makes no sense")
-
 // Members is a list of backends, or changes of it, in discovery's form.
 type Members struct {
 	Index     int64
@@ -55,6 +49,13 @@
 	epoch int   // of the watch: what an older one still reads is passed over
 	stop  context.CancelFunc
 
+	known  map[string]*known // by name
+	all    []*known
+	lists  uint64   // lists and changes taken or asked for
+	open   int      // ... of which so many are under way
+	gone   []*known // of those known
+	served bool     // a backend has been in service
+
 	silence time.Duration
 }
 
@@ -62,7 +63,7 @@
 	t := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 		ResponseHeaderTimeout: watchSilence, MaxConnsPerHost: 4}
 	return &discovery{f: f, http: &http.Client{Transport: t}, addr: f.cfg.Discovery, index: f.cfg.Known.Index,
-		stop: func() {}, silence: cmp.Or(f.cfg.watchSilence, watchSilence)}
+		known: map[string]*known{}, stop: func() {}, silence: cmp.Or(f.cfg.watchSilence, watchSilence)}
 }
 
 // follow begins to watch at an address, from the index known last, and leaves the watch before.
@@ -104,59 +105,17 @@
 		return err
 	}
 	defer resp.Body.Close()
-	in := &watchReader{from: resp.Body, silence: d.silence, left: mostList, blank: true,
-		dead: time.AfterFunc(d.silence, cancel)} // protects against a machine that fell silent
-	defer in.dead.Stop()
-	lists := json.NewDecoder(in)
-	for {
-		var m Members
-		if err := lists.Decode(&m); err != nil {
-			if in.err != nil { // the watch has ended, perhaps within a list
-				return fmt.Errorf("watch: %w", in.err)
-			}
-			return fmt.Errorf("watch: %w: %w", errNonsense, err)
-		}
-		rest, _ := io.ReadAll(lists.Buffered())
-		in.left, in.blank = mostList, len(bytes.TrimSpace(rest)) == 0
-		*index = m.Index
-		d.f.post(func() {
-			if epoch == d.epoch { // else the next watch brings it again, from the index that the loop had
-				d.f.discovered(m)
-			}
-		})
-	}
-}
-
-// watchReader reads a watch. Any byte is a sign of life. Empty lines between lists are kept from the decoder, which
-// would gather them; a list may stand on several lines.
-type watchReader struct {
-	from    io.Reader
-	dead    *time.Timer
-	silence time.Duration
-	left    int   // bytes that the list may still have
-	blank   bool  // no list has begun
-	err     error // by which the watch ended
-}
-
-func (r *watchReader) Read(b []byte) (int, error) {
+	dead := time.AfterFunc(d.silence, cancel) // protects against a machine that fell silent
+	defer dead.Stop()
+	r := d.reader(resp.Body, dead, d.silence)
+	r.counts = func() bool { return epoch == d.epoch } // else the next watch brings it, from the index that the loop had
+	r.ended = func(index int64) { d.index = index }
 	for {
-		n, err := r.from.Read(b)
-		if n > 0 {
-			r.dead.Reset(r.silence)
-		}
-		if r.blank {
-			n = copy(b, bytes.TrimLeft(b[:n], " \t\r\n"))
-			r.blank = n == 0
-		}
-		if r.left -= n; r.left < 0 {
-			return 0, errors.New("the list is too long")
-		}
+		m, err := r.next()
 		if err != nil {
-			r.err = err
-		}
-		if n > 0 || err != nil {
-			return n, err
+			return fmt.Errorf("watch: %w", err)
 		}
+		*index = m.Index
 	}
 }
 
@@ -176,63 +135,36 @@
 	return resp, nil
 }
 
-// fetch gets the whole list once, for a Door that asks.
-func (d *discovery) fetch(addr string) {
-	ctx, cancel := context.WithTimeout(context.Background(), watchSilence)
-	defer cancel()
-	m, err := d.list(ctx, addr)
-	if err != nil {
-		d.f.post(func() { d.f.tell(snowhall.List{Scope: snowhall.ListFailed}) })
-		return
-	}
-	d.f.post(func() { d.f.discovered(m) })
+// ask gets the whole list once, for a Door that asks.
+func (d *discovery) ask() {
+	t, addr, epoch := d.begin(), d.addr, d.epoch
+	go func() {
+		if err := d.fetch(addr, t, epoch); err != nil {
+			d.f.log.Debug("no list", "error", err)
+			d.f.post(func() {
+				d.leave(t)
+				d.f.tell(snowhall.List{Scope: snowhall.ListFailed})
+			})
+		}
+	}()
 }
 
-func (d *discovery) list(ctx context.Context, addr string) (m Members, err error) {
+// fetch reads the whole list. It moves no index: what the watch is to bring, the watch brings.
+func (d *discovery) fetch(addr string, t *taking, epoch int) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	dead := time.AfterFunc(d.silence, cancel)
+	defer dead.Stop()
 	resp, err := d.get(ctx, membersURL(addr))
 	if err != nil {
-		return m, err
+		return err
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(io.LimitReader(resp.Body, mostList)).Decode(&m); err != nil {
-		return m, fmt.Errorf("list: %w", err)
-	}
-	if !m.Snapshot {
-		return m, errors.New("list: not a whole one")
-	}
-	return m, nil
-}
-
-// discovered takes news of the backends to the pools and to the Door.
-func (f *Front) discovered(m Members) {
-	scope := snowhall.Delta
-	if m.Snapshot {
-		scope = snowhall.Whole
-	}
-	f.discovery.index = m.Index
-	f.take(m, scope)
-}
-
-// take hands a list or its changes on.
-func (f *Front) take(m Members, scope snowhall.Scope) {
-	list := snowhall.List{Scope: scope}
-	for _, e := range m.Endpoints {
-		state, ok := statuses[e.Status]
-		if !ok || e.Name == "" {
-			f.log.Warn("an entry of the list that makes no sense", "name", e.Name, "status", e.Status)
-			continue
-		}
-		b := snowhall.Backend{Name: e.Name, Zone: max(0, index(f.cfg.Transport.Zones, e.Zone)),
-			Kind: max(0, index(f.cfg.Transport.Kinds, e.Type)), Cell: e.Group, State: state, Weight: e.Weight,
-			Started: time.Duration(e.SinceMS) * time.Millisecond}
-		list.Entries = append(list.Entries, b)
-		if state == snowhall.InService {
-			f.ready.Store(true)
-		}
-		f.backends.listed(b, e.Address)
-	}
-	if scope != snowhall.Delta {
-		f.backends.keepOnly(list.Entries)
+	r := d.reader(resp.Body, dead, d.silence)
+	r.counts, r.list = func() bool { return epoch == d.epoch }, t
+	m, err := r.next()
+	if err == nil && !m.Snapshot {
+		err = errors.New("not a whole list")
 	}
-	f.tell(list)
+	return err
 }
--- a/internal/front/discovery_test.go
+++ b/internal/front/discovery_test.go
@@ -215,7 +215,7 @@
 	watch, _ := a.watched()
 	watch.chunk(`{"index":9,"snapshot":true,"endpoints":[`)
 	entry := strings.Repeat(`{"name":"s-0","status":"ASLEEP"},`, 1<<10)
-	for sent := 0; sent < 64*mostList; sent += len(entry) {
+	for sent := 0; sent < 64<<20; sent += len(entry) {
 		if _, err := fmt.Fprintf(watch.nc, "%x\r\n%s\r\n", len(entry), entry); err != nil {
 			a.watched()
 			return
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -74,7 +74,7 @@
 // unsettled lets a connection be used again at once.
 func unsettled(c *Config, t *testing.T) { c.settleFor = 1 }
 
-func config(t *testing.T, counter bool, dialUS int) *Config {
+func config(t testing.TB, counter bool, dialUS int) *Config {
 	t.Helper()
 	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"counter":"127.0.0.1:1","settings":`+settingsJSON+`}`, dialUS, counter)
--- /dev/null
+++ b/internal/front/list_test.go
@@ -0,0 +1,344 @@
+package front
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"snowhall"
+)
+
+// fleetSize is the largest fleet to carry, in backends.
+const fleetSize = 11_000
+
+// fleet is a whole list of backends at which nothing listens.
+func fleet(index int64, n int) Members {
+	m := Members{Index: index, Snapshot: true, Endpoints: make([]Endpoint, n)}
+	for i := range m.Endpoints {
+		m.Endpoints[i] = Endpoint{Name: fmt.Sprintf("s-%08x", uint32(i)*2654435761), Zone: "dc1", Type: "std", Group: i % 40,
+			Address: fmt.Sprintf("127.1.%d.%d:1", i>>8, i&255), Status: "SERVING", Weight: 1, SinceMS: 1_790_000_000_000}
+	}
+	return m
+}
+
+// text is a list as discovery writes it.
+func text(t testing.TB, m Members) string {
+	t.Helper()
+	b, err := json.Marshal(lower(m))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b) + "\n"
+}
+
+// indented is a list on many lines.
+func indented(t testing.TB, m Members) string {
+	t.Helper()
+	b, err := json.MarshalIndent(lower(m), "", "    ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b) + "\n"
+}
+
+// The whole list of the largest fleet is taken from a watch, on one line or indented.
+func TestWholeListIsTaken(t *testing.T) {
+	for name, form := range map[string]func(testing.TB, Members) string{"line": text, "indented": indented} {
+		t.Run(name, func(t *testing.T) {
+			f := idle(t)
+			a := &agent{t, listen(t)}
+			f.discovery.follow(a.ln.Addr().String())
+			defer f.discovery.stop()
+			watch, _ := a.watched()
+			list := form(t, fleet(7, fleetSize))
+			t.Logf("%d bytes", len(list))
+			go fmt.Fprintf(watch.nc, "%x\r\n%s\r\n", len(list), list)
+			pump(t, f, func() bool { return f.discovery.index == 7 })
+			if len(f.backends.all) != fleetSize {
+				t.Errorf("%d are known", len(f.backends.all))
+			}
+		})
+	}
+}
+
+// says lets a front door that is not running read what an agent says, and plays its loop. It returns what each task
+// told the Door, the index that the watch came to, and how it ended.
+func says(t testing.TB, f *Front, text string, counts func() bool) (told [][]snowhall.Backend, err error) {
+	t.Helper()
+	d := f.discovery
+	dead := time.AfterFunc(patient, func() {})
+	defer dead.Stop()
+	r := d.reader(strings.NewReader(text), dead, patient)
+	r.ended = func(index int64) { d.index = index }
+	if counts != nil {
+		r.counts = counts
+	}
+	ended := make(chan error)
+	go func() {
+		for {
+			if _, err := r.next(); err != nil {
+				ended <- err
+				return
+			}
+		}
+	}()
+	for {
+		select {
+		case task := <-f.tasks:
+			task()
+			if len(f.events) > 1 {
+				t.Errorf("%d events of one task", len(f.events))
+			}
+			for _, ev := range f.events {
+				told = append(told, ev.(snowhall.List).Entries)
+			}
+			f.events = nil
+		case err := <-ended:
+			for len(f.tasks) > 0 {
+				(<-f.tasks)()
+			}
+			return told, err
+		case <-time.After(patient):
+			t.Fatal("the list is not read to its end")
+		}
+	}
+}
+
+// sizes are the numbers of entries in each part.
+func sizes(told [][]snowhall.Backend) (n []int) {
+	for _, part := range told {
+		n = append(n, len(part))
+	}
+	return n
+}
+
+// A long list comes in bounded parts, what it leaves out too; a short one in one piece; and of one that says what is
+// known already nothing is told but that it has come.
+func TestListComesInParts(t *testing.T) {
+	f := idle(t)
+	for _, c := range []struct {
+		list Members
+		want []int
+	}{
+		{fleet(2, 400), []int{64, 64, 64, 64, 64, 64, 16}},
+		{fleet(3, 400), []int{0}},
+		{fleet(4, 100), []int{together, 44}},
+		{fleet(5, together), []int{together - 100}},
+		{fleet(6, 5), []int{together - 5}},
+		{fleet(7, 10), []int{5}},
+		{fleet(8, 2000), nil},
+		{fleet(9, 1990), []int{10}},
+		{fleet(10, 900), nil},
+	} {
+		told, err := says(t, f, text(t, c.list), nil)
+		if got := sizes(told); len(c.want) > 0 && !slices.Equal(got, c.want) || slices.Max(got) > together || !errors.Is(err, io.EOF) {
+			t.Errorf("list %d: %d told, want %d; %v", c.list.Index, got, c.want, err)
+		}
+		if n := len(c.list.Endpoints); f.discovery.index != c.list.Index || len(f.discovery.known) != n || len(f.backends.all) != n {
+			t.Errorf("list %d: index %d, %d known, %d in the pools", c.list.Index, f.discovery.index,
+				len(f.discovery.known), len(f.backends.all))
+		}
+	}
+}
+
+// The Door hears the same of a whole list as from the list itself: of what is new, has changed, drains or is left out.
+func TestChangesOfAWholeList(t *testing.T) {
+	f := idle(t)
+	says(t, f, text(t, fleet(2, 6)), nil)
+	m := fleet(3, 6)
+	m.Endpoints[0].Status = "DRAINING"
+	m.Endpoints[1].SinceMS++
+	m.Endpoints[2].Address = "127.0.0.1:2"
+	m.Endpoints[3].Weight = 2
+	m.Endpoints = m.Endpoints[:5]
+	told, _ := says(t, f, text(t, m), nil)
+	want := []snowhall.State{snowhall.Terminating, snowhall.InService, snowhall.InService, snowhall.InService, snowhall.Terminated}
+	var got []snowhall.State
+	for _, b := range told[0] {
+		got = append(got, b.State)
+	}
+	if len(told) != 1 || !slices.Equal(got, want) || told[0][4].Name != fleet(0, 6).Endpoints[5].Name {
+		t.Errorf("told %+v", told)
+	}
+	if told, _ = says(t, f, text(t, m), nil); len(told) != 1 || len(told[0]) != 0 {
+		t.Errorf("the same list again: told %+v", told)
+	}
+}
+
+// The fields may come in any order, with others between, and a drain at the list's end is told with its part though
+// the index is not known yet.
+func TestFieldsInAnyOrder(t *testing.T) {
+	for _, form := range []string{
+		`{"endpoints":%[3]s,"snapshot":%[2]v,"index":%[1]d}`, `{"Snapshot":%[2]v,"endpoints":%[3]s,"index":%[1]d}`,
+		"{\n\n \"more\" : {\"endpoints\":[1]},\r\n\"index\":%[1]d,\t\"endpoints\" :\n %[3]s , \"snapshot\":%[2]v,\"last\":[]}\n\n"} {
+		f := idle(t)
+		written := ""
+		for i, m := range []Members{fleet(2, 200), fleet(3, 150), {Index: 4, Endpoints: fleet(4, 1).Endpoints}} {
+			if m.Index == 4 {
+				m.Endpoints[0].Status = "DELETED"
+			}
+			entries, err := json.MarshalIndent(lower(m)["endpoints"], "", strings.Repeat(" ", i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			written += fmt.Sprintf(form, m.Index, m.Snapshot, entries)
+		}
+		told, err := says(t, f, written, nil)
+		if got := sizes(told); !slices.Equal(got, []int{200, 50, 1}) || f.discovery.index != 4 || !errors.Is(err, io.EOF) {
+			t.Errorf("told %d, index %d: %v", got, f.discovery.index, err)
+		}
+		if len(f.discovery.known) != 149 || len(f.backends.all) != 149 {
+			t.Errorf("%d are known", len(f.discovery.known))
+		}
+	}
+}
+
+// A list that is cut off, is no list, is too long or no longer counts retires nobody and moves no index.
+func TestUnfinishedListRetiresNobody(t *testing.T) {
+	long := text(t, fleet(9, 400))
+	entry := long[strings.Index(long, "[")+1 : strings.Index(long, "}")+1]
+	parts := 0
+	moved := func() bool { parts++; return parts < 3 }
+	for name, c := range map[string]struct {
+		list   string
+		counts func() bool
+		err    error
+	}{
+		"cut in an entry":     {list: long[:len(long)/2], err: io.EOF},
+		"cut behind an entry": {list: long[:strings.Index(long, `"SERVING"`)+12]},
+		"cut at its end":      {list: long[:len(long)-2]},
+		"cut in its head":     {list: `{"index":9,"snapsh`},
+		"nonsense":            {list: "<html>not here</html>", err: errNonsense},
+		"nonsense behind":     {list: long[:strings.LastIndex(long, ",{")] + "<br>", err: errNonsense},
+		"no index":            {list: strings.Replace(long, `"index":9,`, "", 1), err: errNonsense},
+		"no entries":          {list: `{"index":9,"snapshot":true}`, err: errNonsense},
+		"no list of entries":  {list: `{"index":9,"snapshot":true,"endpoints":{}}`, err: errNonsense},
+		"an endless entry": {err: errNonsense, list: `{"index":9,"snapshot":true,"endpoints":[{"name":"` +
+			strings.Repeat("x", mostEntry+4096)},
+		"an endless list": {err: errNonsense, list: `{"index":9,"snapshot":true,"endpoints":[` +
+			strings.Repeat(entry+",", mostEntries) + entry + "]}"},
+		"moved": {list: long, counts: moved, err: errMoved},
+	} {
+		f := idle(t)
+		says(t, f, text(t, fleet(2, 500)), nil)
+		told, err := says(t, f, c.list, c.counts)
+		for _, part := range told {
+			if len(part) > 0 {
+				t.Errorf("%s: told %d changes", name, len(part))
+			}
+		}
+		if err == nil || c.err != nil && !errors.Is(err, c.err) || errors.Is(err, errNonsense) != (c.err == errNonsense) {
+			t.Errorf("%s: ended by %v", name, err)
+		}
+		if f.discovery.index != 2 || len(f.discovery.known) != 500 || f.discovery.open != 0 {
+			t.Errorf("%s: index %d, %d known, %d open", name, f.discovery.index, len(f.discovery.known), f.discovery.open)
+		}
+	}
+}
+
+// A list that was asked for before a change came by the watch and is read after it does not undo the change.
+func TestOlderListDoesNotUndoAChange(t *testing.T) {
+	f := idle(t)
+	d := f.discovery
+	says(t, f, text(t, fleet(2, 4)), nil)
+	asked := d.begin()
+	m := fleet(3, 5)
+	m.Snapshot, m.Endpoints[0].Status, m.Endpoints[1].Status = false, "DELETED", "DRAINING"
+	says(t, f, text(t, m), nil) // the last one is new
+	if news := d.note(asked, fleet(2, 3).Endpoints); len(news) != 0 {
+		t.Errorf("undone: %+v", news)
+	}
+	left, _ := d.sweep(asked)
+	if d.leave(asked); len(left) != 0 || len(d.all) != 4 || len(d.known) != 4 || d.open != 0 || len(d.gone) != 0 {
+		t.Errorf("left out %v; %d known, %d open", left, len(d.known), d.open)
+	}
+}
+
+// BenchmarkWholeList takes a list of the largest fleet, for the first time and again, on one thread and with as much
+// garbage as the program does. It reports the longest task of the loop in the program's processor time, without and with
+// the Door's Step, and the memory that stays for a backend.
+func BenchmarkWholeList(b *testing.B) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	defer debug.SetGCPercent(debug.SetGCPercent(400))
+	written := text(b, fleet(2, fleetSize))
+	for _, step := range []bool{false, true} {
+		for _, again := range []bool{false, true} {
+			b.Run(fmt.Sprintf("step=%v/again=%v", step, again), func(b *testing.B) {
+				var longest, used time.Duration
+				live := 0.0
+				for range b.N {
+					b.StopTimer()
+					before := liveBytes()
+					f, err := New(config(b, false, 5_000_000), discard)
+					if err != nil {
+						b.Fatal(err)
+					}
+					if again {
+						playList(b, f, written, step)
+					}
+					begin := processorTime()
+					b.StartTimer()
+					longest = max(longest, playList(b, f, written, step))
+					b.StopTimer()
+					used += processorTime() - begin
+					live = liveBytes() - before
+					close(f.done)
+					b.StartTimer()
+				}
+				b.ReportMetric(float64(used.Microseconds())/float64(b.N), "cpu-us/op")
+				b.ReportMetric(float64(longest.Microseconds()), "longest-task-us")
+				b.ReportMetric(live/fleetSize, "B/backend")
+			})
+		}
+	}
+}
+
+func liveBytes() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// processorTime is what the program has used: on a busy machine the wall clock tells what others use.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// playList lets a front door that is not running read a list, and returns how long its longest task took.
+func playList(b *testing.B, f *Front, written string, step bool) (longest time.Duration) {
+	dead := time.AfterFunc(patient, func() {})
+	defer dead.Stop()
+	r := f.discovery.reader(strings.NewReader(written), dead, patient)
+	ended := make(chan error)
+	go func() {
+		_, err := r.next()
+		ended <- err
+	}()
+	for {
+		select {
+		case task := <-f.tasks:
+			begin := processorTime()
+			if task(); step {
+				f.step()
+			}
+			f.events = nil
+			longest = max(longest, processorTime()-begin)
+		case err := <-ended:
+			if err != nil {
+				b.Fatal(err)
+			}
+			return longest
+		}
+	}
+}
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -215,7 +215,7 @@
 	case snowhall.SetTimer:
 		f.timers.add(a.At, func() { f.tell(snowhall.Timer{Cookie: a.Cookie}) })
 	case snowhall.Watch, snowhall.Fetch:
-		go f.discovery.fetch(f.discovery.addr)
+		f.discovery.ask()
 	case snowhall.Log:
 		f.log.Info(a.Text)
 	}
