Forget swept backends in bounded parts, and test restarts with 11,000 of them

Cause: the task that ends a whole list forgot all that had gone at once.

Change: 256 are forgotten with a list's end and 256 each second, none while a list is taken. In a fleet of over 1,024 a task retires 64.

New tests: a watch that is moved within a list asks from the last index, and what the old one still says neither counts nor retires anybody; one opened anew after the list asks from its index and costs the one change. A door with 11,000 known backends and a silent discovery answers the first PING with PONG.

--- a/internal/front/list.go
+++ b/internal/front/list.go
@@ -252,16 +252,22 @@
 	return &taking{number: d.lists}
 }
 
-// leave ends the taking of a list. What has gone is remembered until no older list can name it again.
+// leave ends the taking of a list.
 func (d *discovery) leave(t *taking) {
 	if t.over {
 		return
 	}
 	t.over = true
-	if d.open--; d.open > 0 {
+	d.open--
+	d.forget()
+}
+
+// forget drops some of what has gone, unless a list is being taken: it counts on the spots, and may name it again.
+func (d *discovery) forget() {
+	if d.open > 0 {
 		return
 	}
-	for _, k := range d.gone {
+	for _, k := range d.gone[:min(len(d.gone), together)] {
 		if k.b.State == snowhall.Terminated && d.known[k.b.Name] == k {
 			last := d.all[len(d.all)-1]
 			d.all[k.spot], last.spot = last, k.spot
@@ -270,7 +276,9 @@
 			delete(d.known, k.b.Name)
 		}
 	}
-	d.gone = nil
+	if d.gone = d.gone[min(len(d.gone), together):]; len(d.gone) == 0 {
+		d.gone = nil
+	}
 }
 
 // note takes entries of a list to the pools, and returns what the Door has to hear: changes.
@@ -325,7 +333,11 @@
 // sweep takes as gone what a whole list has left out, a part at a time, and returns what the Door has to hear and
 // whether that was the last. None is forgotten before the list is over, so all stay in their spots.
 func (d *discovery) sweep(t *taking) (news []snowhall.Backend, over bool) {
-	for end := min(len(d.all), t.swept+sweepSize); t.swept < end && len(news) < together; t.swept++ {
+	most := together
+	if len(d.all) > sweepSize {
+		most = partSize
+	}
+	for end := min(len(d.all), t.swept+sweepSize); t.swept < end && len(news) < most; t.swept++ {
 		k := d.all[t.swept]
 		if k.by >= t.number || k.b.State == snowhall.Terminated {
 			continue
--- a/internal/front/list_test.go
+++ b/internal/front/list_test.go
@@ -1,10 +1,14 @@
 package front
 
 import (
+	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"runtime"
 	"runtime/debug"
 	"slices"
@@ -142,6 +146,9 @@
 		if got := sizes(told); len(c.want) > 0 && !slices.Equal(got, c.want) || slices.Max(got) > together || !errors.Is(err, io.EOF) {
 			t.Errorf("list %d: %d told, want %d; %v", c.list.Index, got, c.want, err)
 		}
+		for len(f.discovery.gone) > 0 {
+			f.discovery.forget()
+		}
 		if n := len(c.list.Endpoints); f.discovery.index != c.list.Index || len(f.discovery.known) != n || len(f.backends.all) != n {
 			t.Errorf("list %d: index %d, %d known, %d in the pools", c.list.Index, f.discovery.index,
 				len(f.discovery.known), len(f.backends.all))
@@ -262,16 +269,237 @@
 	}
 }
 
-// BenchmarkWholeList takes a list of the largest fleet, for the first time and again, on one thread and with as much
-// garbage as the program does. It reports the longest task of the loop in the program's processor time, without and with
+// The index moves once the whole list has been taken, not before: a watch that is moved within a list asks from where the
+// last one ended, and neither the rest of that list nor its end counts any more. One opened anew costs the changes only.
+func TestIndexMovesWithTheWholeList(t *testing.T) {
+	f := idle(t, freeAddr(t))
+	first, second := &agent{t, listen(t)}, &agent{t, listen(t)}
+	f.discovery.follow(first.ln.Addr().String())
+	watch, from := first.watched()
+	list := text(t, fleet(7, fleetSize))
+	go fmt.Fprintf(watch.nc, "%x\r\n%s\r\n", len(list), list)
+	pump(t, f, func() bool { return len(f.discovery.all) > fleetSize/2 })
+	if f.discovery.index != 0 || from != "0" {
+		t.Fatalf("asked from %s; index %d within the list", from, f.discovery.index)
+	}
+	f.discovery.follow(second.ln.Addr().String())
+	defer func() { f.discovery.stop() }()
+	moved := false
+	go func() {
+		watch, from = second.watched()
+		f.post(func() { moved = true })
+	}()
+	pump(t, f, func() bool { return moved && f.discovery.open == 0 }) // the reader of the old list has given up
+	if from != "0" {
+		t.Errorf("the moved watch asks from %s", from)
+	}
+	if d := f.discovery; d.index != 0 || len(d.all) == fleetSize+1 || d.known["s-0"].b.State != snowhall.InService {
+		t.Errorf("the old watch's list was taken: index %d, %d known, %v", d.index, len(d.all), d.known["s-0"].b.State)
+	}
+	go fmt.Fprintf(watch.nc, "%x\r\n%s\r\n", len(list), list)
+	pump(t, f, func() bool { return f.discovery.index == 7 })
+	if n := len(f.discovery.all); n != fleetSize {
+		t.Errorf("%d are known", n)
+	}
+	watch.nc.Close()
+	f.events = nil
+	var since string
+	go func() {
+		watch, since = second.watched()
+		m := fleet(8, 1)
+		m.Snapshot, m.Endpoints[0].Status = false, "DRAINING"
+		watch.chunk(text(t, m))
+	}()
+	pump(t, f, func() bool { return f.discovery.index == 8 })
+	if ev := f.events; since != "7" || len(ev) != 1 || len(ev[0].(snowhall.List).Entries) != 1 {
+		t.Errorf("asked from %s, told %d events", since, len(ev))
+	}
+}
+
+// configured is a configuration as it stands in a file, with a list as last known.
+func configured(t testing.TB, known Members) string {
+	return fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","counter":"127.0.0.1:1",
+"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":32,"sockets":1024},"known":%s,
+"settings":`+settingsJSON+`}`, strings.TrimSuffix(text(t, known), "\n"), 5_000_000, false)
+}
+
+// ready runs a front door until it has told a client that it is ready, and returns the answers to each PING.
+func ready(t testing.TB, config, discovery string) (f *Front, answers []string, end func()) {
+	t.Helper()
+	cfg, err := ReadConfig(strings.NewReader(config))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Discovery = discovery
+	f, err = New(cfg, discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	go f.Run(ctx, ln)
+	end = func() {
+		stop()
+		<-f.done
+	}
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(6 * patient))
+	for in := bufio.NewReader(nc); ; time.Sleep(time.Millisecond) {
+		if _, err := io.WriteString(nc, command("PING")); err != nil {
+			t.Fatal(err)
+		}
+		line, err := in.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		if answers = append(answers, line); line == "+PONG\r\n" {
+			return f, answers, end
+		}
+	}
+}
+
+// list gives each watch the whole list and then keeps silent.
+func (a *agent) list(written string) {
+	for {
+		nc, err := a.ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer nc.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+				io.WriteString(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+chunked(written))
+				io.Copy(io.Discard, nc) // until the door leaves
+			}
+		}()
+	}
+}
+
+// A door that starts with the list of the largest fleet, and discovery silent, is ready at the first question.
+func TestReadyWithKnownFleet(t *testing.T) {
+	f, answers, end := ready(t, configured(t, fleet(5, fleetSize)), listen(t).Addr().String())
+	defer end()
+	(&world{t: t, f: f}).until(func() bool { return len(f.backends.all) == fleetSize && f.discovery.index == 5 })
+	if len(answers) != 1 {
+		t.Errorf("%d answers, the first %q", len(answers), answers[0])
+	}
+}
+
+// A door that starts with no list is ready once it has taken the whole one, with all of it and not with a part.
+func TestReadyWithListFromTheAgent(t *testing.T) {
+	a := &agent{t, listen(t)}
+	go a.list(text(t, fleet(7, fleetSize)))
+	f, answers, end := ready(t, configured(t, Members{}), a.ln.Addr().String())
+	defer end()
+	n := 0
+	(&world{t: t, f: f}).until(func() bool { n = len(f.backends.all); return true })
+	if n != fleetSize || !strings.HasPrefix(answers[0], "-LOADING") {
+		t.Errorf("ready with %d backends; the first answer was %q", n, answers[0])
+	}
+}
+
+// BenchmarkReady starts a door up to its first PONG, on one thread: with the largest fleet in its configuration, and with
+// the list from the agent.
+func BenchmarkReady(b *testing.B) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	defer debug.SetGCPercent(debug.SetGCPercent(400))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer ln.Close()
+	go (&agent{nil, ln}).list(text(b, fleet(7, fleetSize)))
+	for _, c := range []struct {
+		name, config, discovery string
+	}{{"known", configured(b, fleet(7, fleetSize)), "127.0.0.1:1"}, {"agent", configured(b, Members{}), ln.Addr().String()}} {
+		b.Run(c.name, func(b *testing.B) {
+			var used time.Duration
+			for range b.N {
+				begin := processorTime()
+				_, _, end := ready(b, c.config, c.discovery)
+				used += processorTime() - begin
+				b.StopTimer()
+				end()
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(used.Microseconds())/float64(b.N), "cpu-us/op")
+		})
+	}
+}
+
+// BenchmarkPause measures how long the loop of a running door makes others wait while the list of the largest fleet
+// arrives for the first time, again, and without half of it, on one thread and in the program's processor time.
+func BenchmarkPause(b *testing.B) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	defer debug.SetGCPercent(debug.SetGCPercent(400))
+	lists := []struct{ name, text string }{{"first", chunked(text(b, fleet(2, fleetSize)))},
+		{"again", chunked(text(b, fleet(3, fleetSize)))}, {"half", chunked(text(b, fleet(4, fleetSize/2)))}}
+	longest := make([]time.Duration, len(lists))
+	for range b.N {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		cfg, err := ReadConfig(strings.NewReader(configured(b, members(1, "127.0.0.1:1"))))
+		if err != nil {
+			b.Fatal(err)
+		}
+		cfg.Discovery = ln.Addr().String()
+		f, err := New(cfg, discard)
+		if err != nil {
+			b.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		clients, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		go f.Run(ctx, clients)
+		nc, err := ln.Accept()
+		if err != nil {
+			b.Fatal(err)
+		}
+		io.WriteString(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for i, list := range lists {
+			go io.WriteString(nc, list.text)
+			for index, last := int64(0), int64(i+2); index != last; time.Sleep(100 * time.Microsecond) {
+				begin := processorTime()
+				done := make(chan struct{})
+				f.post(func() {
+					index = f.discovery.index
+					close(done)
+				})
+				<-done
+				longest[i] = max(longest[i], processorTime()-begin)
+			}
+		}
+		nc.Close()
+		ln.Close()
+		stop()
+		<-f.done
+	}
+	for i, list := range lists {
+		b.ReportMetric(float64(longest[i].Microseconds()), list.name+"-us")
+	}
+}
+
+// BenchmarkWholeList takes a list of the largest fleet, for the first time, again, and half of it, on one thread and with
+// as much garbage as the program does. It reports the longest task of the loop in the program's processor time, without and with
 // the Door's Step, and the memory that stays for a backend.
 func BenchmarkWholeList(b *testing.B) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	defer debug.SetGCPercent(debug.SetGCPercent(400))
-	written := text(b, fleet(2, fleetSize))
+	written, half := text(b, fleet(2, fleetSize)), text(b, fleet(3, fleetSize/2))
 	for _, step := range []bool{false, true} {
-		for _, again := range []bool{false, true} {
-			b.Run(fmt.Sprintf("step=%v/again=%v", step, again), func(b *testing.B) {
+		for _, list := range []string{"first", "again", "half"} {
+			b.Run(fmt.Sprintf("step=%v/%s", step, list), func(b *testing.B) {
 				var longest, used time.Duration
 				live := 0.0
 				for range b.N {
@@ -281,12 +509,16 @@
 					if err != nil {
 						b.Fatal(err)
 					}
-					if again {
+					last := written
+					if list != "first" {
 						playList(b, f, written, step)
 					}
+					if list == "half" {
+						last = half
+					}
 					begin := processorTime()
 					b.StartTimer()
-					longest = max(longest, playList(b, f, written, step))
+					longest = max(longest, playList(b, f, last, step))
 					b.StopTimer()
 					used += processorTime() - begin
 					live = liveBytes() - before
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -101,6 +101,7 @@
 	f.every(sweepEvery, func() {
 		f.backends.sweep()
 		f.counter.sweep()
+		f.discovery.forget()
 	})
 	f.loop(ctx, ln)
 }
