Test that a drain among 11,000 entries is told before the list has ended

Sends to a backend that drains must end 250 ms after the agent has it. The test lets a list of 11,000 stop behind a drain in its first few hundred entries: the Door hears of it, the pool is closed to it, and the index stays.

--- a/internal/front/list_test.go
+++ b/internal/front/list_test.go
@@ -316,6 +316,26 @@
 	}
 }
 
+// A drain among many is told before the list has ended: no new work may go to that backend 250 ms after the agent has it.
+func TestDrainInALongListIsTold(t *testing.T) {
+	f := idle(t)
+	says(t, f, text(t, fleet(2, fleetSize)), nil)
+	m := fleet(3, fleetSize)
+	drains := m.Endpoints[300]
+	m.Endpoints[300].Status = "DRAINING"
+	a := &agent{t, listen(t)}
+	f.discovery.follow(a.ln.Addr().String())
+	defer f.discovery.stop()
+	watch, _ := a.watched()
+	list := text(t, m)
+	watch.chunk(list[:strings.Index(list, m.Endpoints[300+2*partSize].Name)]) // and then nothing
+	pump(t, f, func() bool { return len(f.events) > 0 })
+	if told := f.events[0].(snowhall.List).Entries; len(told) != 1 || told[0].Name != drains.Name ||
+		told[0].State != snowhall.Terminating || f.backends.all[drains.Name] != nil || f.discovery.index != 2 {
+		t.Errorf("told %+v, index %d", told, f.discovery.index)
+	}
+}
+
 // configured is a configuration as it stands in a file, with a list as last known.
 func configured(t testing.TB, known Members) string {
 	return fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","counter":"127.0.0.1:1",
