--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -101,6 +101,7 @@
 	f.every(sweepEvery, func() {
 		f.backends.sweep()
 		f.counter.sweep()
+		f.discovery.forget()
 	})
 	f.loop(ctx, ln)
 }
@@ -215,7 +216,7 @@
 	case snowhall.SetTimer:
 		f.timers.add(a.At, func() { f.tell(snowhall.Timer{Cookie: a.Cookie}) })
 	case snowhall.Watch, snowhall.Fetch:
-		go f.discovery.fetch(f.discovery.addr)
+		f.discovery.ask()
 	case snowhall.Log:
 		f.log.Info(a.Text)
 	}
