Begin no attempt for a client whose end has come but is not yet read

Cause: only a client's reader told the loop that the client had left. A reader that waited for room, had other bytes before the end, or had not run since, told it late, and the loop meanwhile sent on what it had: first attempts, further ones, and those whose connection came up late.

Change: before an attempt, and when the connection made for it has come up, the client's socket is asked whether the other side has ended it (a peek; behind unread bytes the state that TCP_INFO gives). If so, the attempt is not sent, the connection is closed, and all requests on it end. Where the system does not tell, the connection counts as open, as before.

--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -215,7 +215,7 @@
 // send starts an attempt, on the warm connection used last if there is one: a new one costs the backend work.
 func (bs *backends) send(a *attempt) {
 	b := bs.all[a.backend]
-	if b == nil || !b.listed {
+	if b == nil || !b.listed || bs.clientLeft(a) {
 		bs.f.ended(a, snowhall.Moot, 0, 0)
 		return
 	}
@@ -238,6 +238,16 @@
 	}
 }
 
+// clientLeft ends the request of an attempt if its client has left. Wherever the request has waited, and whatever of
+// the client still waits to be read, an attempt that began now would begin too late.
+func (bs *backends) clientLeft(a *attempt) bool {
+	left := a.r.ask.conn.left()
+	if left {
+		bs.f.gone(a.r.ask)
+	}
+	return left
+}
+
 // silent is called when no answer came in time. If the backend has said nothing at all since the command was
 // sent, its machine may be gone, and the connections that idle since then with it: they would stay open and
 // silent, so the next attempts must find out by new ones.
@@ -339,7 +349,9 @@
 			return
 		}
 		c.nc = nc
-		c.start()
+		if c.attempt == nil || !c.f.backends.clientLeft(c.attempt) { // else it was taken back
+			c.start()
+		}
 	})
 	c.in = &respReader{from: reader{c, nc}}
 	for {
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -390,6 +390,17 @@
 	c.room.Broadcast()
 }
 
+// left says whether the client has ended its connection, which its reader may not know yet: it may wait for room, or
+// have more to read before the end. The connection is then closed here too, and all its requests end.
+func (c *client) left() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed && hungUp(c.nc) {
+		c.close()
+	}
+	return c.closed
+}
+
 // leaving says that nothing more is sent on for the connection.
 func (c *client) leaving() bool {
 	c.mu.Lock()
