Close a connection without a place before the next one is accepted

Cause: where the clients' share was full, each further connection was given to a goroutine of its own before it was known to be one too many, and the next was accepted at once. A crowd in the listener's line thus took descriptors that belong to backends, discovery and the counter, whose dials then fail. Besides, a connection that had given way made room again for each newcomer until its reader ended.

Change: the refusal is written where connections are accepted, and the connection closed there, but for the few whose request is read. A connection that has given way is not found a second time.

Result: with a share of 64 and a line of 500, 196 to 230 connections were held at once and now 67 at most (TestCrowdInTheLineTakesNoDescriptors, TestOneThatGivesWayMakesRoomOnce: they fail without the change, and pass 20 times under the race detector with it).

--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -83,7 +83,7 @@
 			continue
 		}
 		if n := cs.count.Load(); float64(n) >= nearCap*float64(cs.most) && !cs.makeRoom(n >= cs.most) && n >= cs.most {
-			go cs.sendAway(nc)
+			cs.sendAway(nc)
 			continue
 		}
 		c := newClient(cs, nc)
@@ -124,8 +124,9 @@
 	if best == nil {
 		return false
 	}
-	if !best.closeNow() { // a request has come on it just now
-		best.idle.Store(0)
+	ended := best.closeNow()
+	best.idle.Store(0) // it makes room once
+	if !ended {        // a request has come on it just now
 		return cs.makeRoom(full)
 	}
 	runtime.Gosched() // its reader gives the descriptor back
@@ -133,16 +134,22 @@
 }
 
 // sendAway refuses a connection for which there is no place. What its client has sent is read for a moment, as it
-// would else lose the answer.
+// would else lose the answer; but few connections are held for that, and the others are closed before the next one is
+// accepted, so that a crowd in the listener's line takes no descriptors from backends, discovery and the counter.
 func (cs *clients) sendAway(nc net.Conn) {
-	defer nc.Close()
-	defer cs.noPlace.Add(-1)
-	few := cs.noPlace.Add(1) <= cs.most/noPlaceMost
-	nc.SetDeadline(time.Now().Add(noPlaceFor))
-	nc.Write(busyAnswer(comeBack)) // nothing is taken, so nothing has run
-	if half, ok := nc.(interface{ CloseWrite() error }); few && ok && half.CloseWrite() == nil {
-		io.Copy(io.Discard, io.LimitReader(nc, lingerBytes))
+	writeNow(nc, busyAnswer(comeBack)) // nothing is taken, so nothing has run
+	half, ok := nc.(interface{ CloseWrite() error })
+	if cs.noPlace.Add(1) > cs.most/noPlaceMost || !ok || half.CloseWrite() != nil {
+		nc.Close()
+		cs.noPlace.Add(-1)
+		return
 	}
+	go func() {
+		defer cs.noPlace.Add(-1)
+		defer nc.Close()
+		nc.SetReadDeadline(time.Now().Add(noPlaceFor))
+		io.Copy(io.Discard, io.LimitReader(nc, lingerBytes))
+	}()
 }
 
 // close ends the taking of connections.
