Leave descriptors for discovery and the counter at the smallest limits

Cause: 62% of the descriptors for clients, a 32nd of that for those without a place and 28% for backends leave 23 of 256. The listener, poller, standard files and the runtime's cgroup files take 8 (counted on the running program), discovery and the counter 4 each and as many at their addresses before a move, and one each goes to the connection being accepted and to the configuration: 26. Idle clients that fill their share could so keep the watch or a backend's connection from being opened.

Change: where under 32 would be left, clients get fewer, though not under half.

Result: the sum was 259 of 256 and too high at sizes up to 292 (TestSharesOfTheDescriptorsFitTheLimit). A front door in a process of its own that may hold 256, with 512 clients coming again and again while discovery refuses, opens the watch, reaches backends by all 71 connections and calls the counter, before and after a move (TestCrowdLeavesDescriptorsToTheOthers).

--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -12,7 +12,9 @@
 )
 
 const (
-	clientShare = 0.62                   // of the sockets that may be held, for clients
+	clientShare = 0.62                   // of the sockets that may be held, for clients at most ...
+	clientLeast = 0.5                    // ... and at least
+	others      = 32                     // descriptors of neither clients nor backends: see mostClients
 	nearCap     = 0.9                    // of those: from here on idle connections are closed
 	idleAfter   = 2 * time.Second        // a connection with no open request may be closed after this ...
 	silentAfter = 500 * time.Millisecond // ... and, where there is no such, one on which nothing was ever asked
@@ -41,9 +43,9 @@
 }
 
 func newClients(f *Front) *clients {
-	most := max(1, int64(float64(f.cfg.Sockets)*clientShare))
-	if f.cfg.Sockets == 0 {
-		most = 400
+	most := int64(400)
+	if f.cfg.Sockets > 0 {
+		most = mostClients(f.cfg.Sockets, f.backends.most)
 	}
 	memory := float64(f.cfg.MemoryMB<<20) * memoryShare
 	if memory <= 0 {
@@ -53,6 +55,18 @@
 		accepted: make(chan struct{})}
 }
 
+// mostClients is how many connections of clients may be held, so that with those for which there is no place and the
+// backends' share the others always find descriptors: 8 for the listener, the poller, the log and the runtime, 4 each
+// for discovery and the counter and as many at their addresses before, one for the connection that is being
+// accepted and one for the configuration; some are left for what the system loads with the program.
+func mostClients(sockets, backends int) int64 {
+	share := float64(sockets) * clientShare
+	if left := sockets - backends - others; float64(left) < share {
+		share = max(float64(sockets)*clientLeast, float64(left)*noPlaceMost/(noPlaceMost+1))
+	}
+	return max(1, int64(share))
+}
+
 // accept takes connections until the listener is closed or has a deadline. Those that stand in its line then are
 // still taken: their clients hold them for open, and have sent their requests.
 func (cs *clients) accept(ln net.Listener) {
