--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -12,7 +12,9 @@
 )
 
 const (
-	clientShare = 0.62                   // of the sockets that may be held, for clients
+	clientShare = 0.62                   // of the sockets that may be held, for clients at most ...
+	clientLeast = 0.5                    // ... and at least
+	others      = 32                     // descriptors of neither clients nor backends: see mostClients
 	nearCap     = 0.9                    // of those: from here on idle connections are closed
 	idleAfter   = 2 * time.Second        // a connection with no open request may be closed after this ...
 	silentAfter = 500 * time.Millisecond // ... and, where there is no such, one on which nothing was ever asked
@@ -41,9 +43,9 @@
 }
 
 func newClients(f *Front) *clients {
-	most := max(1, int64(float64(f.cfg.Sockets)*clientShare))
-	if f.cfg.Sockets == 0 {
-		most = 400
+	most := int64(400)
+	if f.cfg.Sockets > 0 {
+		most = mostClients(f.cfg.Sockets, f.backends.most)
 	}
 	memory := float64(f.cfg.MemoryMB<<20) * memoryShare
 	if memory <= 0 {
@@ -53,6 +55,18 @@
 		accepted: make(chan struct{})}
 }
 
+// mostClients is how many connections of clients may be held, so that with those for which there is no place and the
+// backends' share the others always find descriptors: 8 for the listener, the poller, the log and the runtime, 4 each
+// for discovery and the counter and as many at their addresses before, one for the connection that is being
+// accepted and one for the configuration; some are left for what the system loads with the program.
+func mostClients(sockets, backends int) int64 {
+	share := float64(sockets) * clientShare
+	if left := sockets - backends - others; float64(left) < share {
+		share = max(float64(sockets)*clientLeast, float64(left)*noPlaceMost/(noPlaceMost+1))
+	}
+	return max(1, int64(share))
+}
+
 // accept takes connections until the listener is closed or has a deadline. Those that stand in its line then are
 // still taken: their clients hold them for open, and have sent their requests.
 func (cs *clients) accept(ln net.Listener) {
@@ -83,7 +97,7 @@
 			continue
 		}
 		if n := cs.count.Load(); float64(n) >= nearCap*float64(cs.most) && !cs.makeRoom(n >= cs.most) && n >= cs.most {
-			go cs.sendAway(nc)
+			cs.sendAway(nc)
 			continue
 		}
 		c := newClient(cs, nc)
@@ -124,8 +138,9 @@
 	if best == nil {
 		return false
 	}
-	if !best.closeNow() { // a request has come on it just now
-		best.idle.Store(0)
+	ended := best.closeNow()
+	best.idle.Store(0) // it makes room once
+	if !ended {        // a request has come on it just now
 		return cs.makeRoom(full)
 	}
 	runtime.Gosched() // its reader gives the descriptor back
@@ -133,16 +148,22 @@
 }
 
 // sendAway refuses a connection for which there is no place. What its client has sent is read for a moment, as it
-// would else lose the answer.
+// would else lose the answer; but few connections are held for that, and the others are closed before the next one is
+// accepted, so that a crowd in the listener's line takes no descriptors from backends, discovery and the counter.
 func (cs *clients) sendAway(nc net.Conn) {
-	defer nc.Close()
-	defer cs.noPlace.Add(-1)
-	few := cs.noPlace.Add(1) <= cs.most/noPlaceMost
-	nc.SetDeadline(time.Now().Add(noPlaceFor))
-	nc.Write(busyAnswer(comeBack)) // nothing is taken, so nothing has run
-	if half, ok := nc.(interface{ CloseWrite() error }); few && ok && half.CloseWrite() == nil {
-		io.Copy(io.Discard, io.LimitReader(nc, lingerBytes))
+	writeNow(nc, busyAnswer(comeBack)) // nothing is taken, so nothing has run
+	half, ok := nc.(interface{ CloseWrite() error })
+	if cs.noPlace.Add(1) > cs.most/noPlaceMost || !ok || half.CloseWrite() != nil {
+		nc.Close()
+		cs.noPlace.Add(-1)
+		return
 	}
+	go func() {
+		defer cs.noPlace.Add(-1)
+		defer nc.Close()
+		nc.SetReadDeadline(time.Now().Add(noPlaceFor))
+		io.Copy(io.Discard, io.LimitReader(nc, lingerBytes))
+	}()
 }
 
 // close ends the taking of connections.
