Measure in virtual time how one door's work and all doors' sums grow with the fleet

What a seed decides repeats with it; a measure that time, memory or an interrupt ends is reported as cut.

--- /dev/null
+++ b/internal/scale/sums.go
@@ -0,0 +1,343 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"snowhall"
+)
+
+// stats of counts.
+type stats struct{ least, mean, most float64 }
+
+// statsOf takes the counts of those that have one, and a zero for each of n that have none.
+func statsOf(counts map[string]int, n int) stats {
+	s, sum := stats{least: math.Inf(1)}, 0
+	for _, c := range counts {
+		s.least, s.most = min(s.least, float64(c)), max(s.most, float64(c))
+		sum += c
+	}
+	if len(counts) < n {
+		s.least = 0
+	}
+	s.mean = float64(sum) / float64(max(1, n))
+	return s
+}
+
+// changed compares the backends that a door used before and after: those new to it, and whether any differ.
+func changed(before, after map[string]int) (fresh int, differs bool) {
+	for name := range after {
+		if before[name] == 0 {
+			fresh++
+		}
+	}
+	return fresh, fresh > 0 || len(before) != len(after)
+}
+
+const settle = 500 * ms // after a change, before the next stretch
+
+// Spread plays every door of a size for four stretches: two with all backends, one with one less, and one with one
+// more in its place. It tells how many doors send to each backend, how evenly the load lies, and what a change moves. With a number
+// of doors above 0 it plays only these, and what needs all of them is left out.
+func Spread(ctx context.Context, o Options, rep *Report, size Size, stretch time.Duration, doors int) error {
+	ranks := sample(size.Doors, doors)
+	o.say("connections and load, %v, %d played", size, len(ranks))
+	const control, before, less, more, phases = 0, 1, 2, 3, 4
+	pop, entries := o.fleet(size, false), list(size.Backends)
+	leaver := entries[size.Backends/2]
+	leaver.State = snowhall.Terminating
+	comer := snowhall.Backend{Name: "n-00000001", Zone: leaver.Zone, Cell: leaver.Cell, Weight: 1}
+	var mu sync.Mutex
+	var all Totals
+	loads, meets, uses := [phases]map[string]int{}, [phases]map[string]int{}, map[string]int{}
+	for p := range phases {
+		loads[p], meets[p] = map[string]int{}, map[string]int{}
+	}
+	var moved, fresh [phases]int
+	err := each(ctx, &o, ranks, func(rank int) error {
+		s, err := newSim(ctx, o.Seed, pop, size.Doors, []int{rank}, entries, phases)
+		if err != nil {
+			return err
+		}
+		s.start()
+		if err := s.run(ctx, warmUp); err != nil {
+			return err
+		}
+		var used [phases]map[string]int
+		for p := range phases {
+			if p >= less {
+				b := []snowhall.Backend{leaver, comer}[p-less]
+				s.step(0, kList, snowhall.List{Scope: snowhall.Delta, Entries: []snowhall.Backend{b}})
+				if err := s.run(ctx, s.now+settle); err != nil {
+					return err
+				}
+			}
+			used[p], s.phase = map[string]int{}, p
+			s.onSend = func(_ int, backend string, _ time.Duration) { used[p][backend]++ }
+			if err := s.run(ctx, s.now+stretch); err != nil {
+				return err
+			}
+		}
+		if err := s.finish(ctx); err != nil {
+			return fmt.Errorf("rank %d: %w", rank, err)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		all.Add(s.totals())
+		for p := range phases {
+			for name, n := range used[p] {
+				loads[p][name] += n
+				meets[p][name]++
+			}
+			if p > control {
+				n, differs := changed(used[p-1], used[p])
+				fresh[p] += n
+				if differs {
+					moved[p]++
+				}
+			}
+		}
+		uses[fmt.Sprint(rank)] = len(used[before])
+		return nil
+	})
+	if err != nil {
+		return cut(ctx, rep, fmt.Sprintf("connections and load, %v", size), err)
+	}
+	how := fmt.Sprintf("%d of %d doors, even traffic, over %v", len(ranks), size.Doors, stretch)
+	put := func(name, unit string, v float64, how string) {
+		rep.Add(Row{Name: name, Unit: unit, Doors: size.Doors, Backends: size.Backends, Value: v, How: how})
+	}
+	u := statsOf(uses, len(ranks))
+	put("backends most", "backends", u.most, "distinct backends that a door sends to; "+how)
+	put("backends mean", "backends", u.mean, "the same, mean of the doors")
+	put("backends least", "backends", u.least, "the same, least of the doors")
+	put("connections mean", "doors", u.mean*float64(size.Doors)/float64(size.Backends), "distinct doors that send to a backend, "+
+		"mean of the backends: backends mean x doors / backends")
+	if len(ranks) == size.Doors {
+		c, l := statsOf(meets[before], size.Backends), statsOf(loads[before], size.Backends)
+		noise := 1 / math.Sqrt(max(1, l.mean))
+		put("connections most", "doors", c.most, "the same, most of the backends")
+		put("connections least", "doors", c.least, "the same, least of the backends")
+		put("load most", "x mean", l.most/l.mean, fmt.Sprintf("sends to the busiest backend over the mean of %.0f; by chance "+
+			"alone each varies by %.1f%% and the busiest would have about %.2f; %s", l.mean, 100*noise,
+			1+noise*math.Sqrt(2*math.Log(float64(size.Backends))), how))
+		put("load least", "x mean", l.least/l.mean, "the same, of the idlest backend")
+	}
+	for p := before; p <= more; p++ {
+		word := []string{"no change", "one leaves", "one comes"}[p-before]
+		put("doors changed, "+word, "doors", float64(moved[p]), "doors that send to other backends in the stretch after than "+
+			"in that before")
+		put("pairs new, "+word, "pairs", float64(fresh[p]), "pairs of door and backend that the stretch before did not have")
+	}
+	put("served", "share", float64(all.Served)/float64(max(1, all.Requests)), "of all requests; a tenth of the customers "+
+		"ask for more than their quota; each door has a counter to itself")
+	return nil
+}
+
+const (
+	coldFrom  = 10 * time.Second // when the cold backend starts
+	coldMeets = 5 * time.Second  // before that, over which the others' load is taken
+)
+
+// Cold lets all doors of a size learn at one moment that a backend has started, and compares what they send it
+// together, in any window, with its budget. Its full capacity is taken for no more than what the others carried.
+func Cold(ctx context.Context, o Options, rep *Report, size Size, uneven bool) error {
+	word := "even"
+	if uneven {
+		word = "uneven"
+	}
+	o.say("cold backend, %v, %s traffic", size, word)
+	pop, entries := o.fleet(size, uneven), list(size.Backends)
+	set := Settings(size.Doors, 0, pop.mean)
+	comer := snowhall.Backend{Name: "n-00000001", Weight: 1, Started: coldFrom}
+	var mu sync.Mutex
+	var all Totals
+	var sends []time.Duration // since the start
+	carried, reach := 0, 0
+	err := each(ctx, &o, sample(size.Doors, 0), func(rank int) error {
+		s, err := newSim(ctx, o.Seed, pop, size.Doors, []int{rank}, entries, 1)
+		if err != nil {
+			return err
+		}
+		var cold []time.Duration
+		warm := 0
+		s.onSend = func(_ int, backend string, at time.Duration) {
+			if backend == comer.Name {
+				cold = append(cold, at-coldFrom)
+			} else if at >= coldFrom-coldMeets && at < coldFrom {
+				warm++
+			}
+		}
+		s.start()
+		if err := s.run(ctx, coldFrom); err != nil {
+			return err
+		}
+		s.step(0, kList, snowhall.List{Scope: snowhall.Delta, Entries: []snowhall.Backend{comer}})
+		if err := s.run(ctx, coldFrom+set.WarmWithin); err != nil {
+			return err
+		}
+		if err := s.finish(ctx); err != nil {
+			return fmt.Errorf("rank %d: %w", rank, err)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		all.Add(s.totals())
+		sends = append(sends, cold...)
+		carried += warm
+		if len(cold) > 0 {
+			reach++
+		}
+		return nil
+	})
+	if err != nil {
+		return cut(ctx, rep, fmt.Sprintf("cold backend, %v, %s traffic", size, word), err)
+	}
+	capacity := float64(carried) / coldMeets.Seconds() / float64(size.Backends) // requests a second
+	w := worstWindow(sends, &set, capacity)
+	put := func(name, unit string, v float64, how string) {
+		rep.Add(Row{Name: name + ", " + word, Unit: unit, Doors: size.Doors, Backends: size.Backends, Value: v, How: how})
+	}
+	put("cold sum", "sends", float64(w.sum), fmt.Sprintf("to one cold backend by all %d doors in the window of %v that comes "+
+		"nearest to its budget, %.1f s after the start", size.Doors, set.FallWindow, w.from.Seconds()))
+	put("cold allowed", "sends", w.allowed, fmt.Sprintf("N + 2 sqrt N + 2 there, N = %.1f: %.0f x present capacity x window; "+
+		"full capacity taken for the %.1f a second that the others carried", w.budget, set.FallMultiple, capacity))
+	put("cold ratio", "x", float64(w.sum)/w.allowed, "of the two; over 1 breaks the rule")
+	put("cold sends", "sends", float64(len(sends)), fmt.Sprintf("in all, by %d doors, until it is warm after %v", reach,
+		set.WarmWithin))
+	put("cold served", "share", float64(all.Served)/float64(max(1, all.Requests)), "of all requests meanwhile")
+	return nil
+}
+
+// window is a stretch of the cold window's length.
+type window struct {
+	from            time.Duration
+	sum             int
+	budget, allowed float64
+}
+
+// worstWindow finds the window that comes nearest to what is allowed in it: FallMultiple times the capacity at its
+// beginning, for its length, and two standard deviations and two sends more. Times are since the start.
+func worstWindow(sends []time.Duration, set *snowhall.Settings, capacity float64) window {
+	slices.Sort(sends)
+	worst := window{}
+	end := 0
+	for i, from := range sends {
+		if from >= set.WarmWithin {
+			break
+		}
+		for end < len(sends) && sends[end] < from+set.FallWindow {
+			end++
+		}
+		share := set.ColdFrom + (1-set.ColdFrom)*float64(from)/float64(set.WarmWithin)
+		n := set.FallMultiple * share * capacity * set.FallWindow.Seconds()
+		w := window{from, end - i, n, n + 2*math.Sqrt(n) + 2}
+		if worst.sum == 0 || float64(w.sum)/w.allowed > float64(worst.sum)/worst.allowed {
+			worst = w
+		}
+	}
+	if worst.sum == 0 { // nobody sent: what would have been allowed at first
+		n := set.FallMultiple * set.ColdFrom * capacity * set.FallWindow.Seconds()
+		worst.budget, worst.allowed = n, n+2*math.Sqrt(n)+2
+	}
+	return worst
+}
+
+const (
+	zoneFrom  = 10 * time.Second // when the zone is lost
+	zoneFirst = 2 * time.Second  // after it, apart from what follows ...
+	zoneThen  = 3 * time.Second  // ... for so long at least, and for so many requests of a door
+	zoneAsks  = 100
+	zoneWarm  = 5 * time.Second // before anything is counted
+)
+
+// Zone takes every parts-th backend away at one moment, told at the same time. Only the given number of doors is
+// played, or all (0).
+func Zone(ctx context.Context, o Options, rep *Report, size Size, parts, doors int) error {
+	what := fmt.Sprintf("1/%d lost", parts)
+	o.say("%s, %v", what, size)
+	const warm, before, first, then, phases = 0, 1, 2, 3, 4
+	pop, entries := o.fleet(size, false), list(size.Backends)
+	lost := map[string]bool{}
+	var news []snowhall.Backend
+	for i := parts / 2; i < len(entries); i += parts {
+		b := entries[i]
+		b.State = snowhall.Terminated
+		lost[b.Name], news = true, append(news, b)
+	}
+	var mu sync.Mutex
+	var sums [phases]Totals
+	least, mean := math.MaxInt, 0.0
+	waits := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	ranks := sample(size.Doors, doors)
+	err := each(ctx, &o, ranks, func(rank int) error {
+		s, err := newSim(ctx, o.Seed, pop, size.Doors, []int{rank}, entries, phases)
+		if err != nil {
+			return err
+		}
+		used := map[string]bool{}
+		mine := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+		s.onSend = func(_ int, backend string, at time.Duration) {
+			if at >= zoneFrom {
+				used[backend] = true
+			}
+		}
+		s.onFirst = func(phase int, wait time.Duration) {
+			if phase == first {
+				mine.RecordValue(int64(min(wait, time.Minute)/time.Microsecond) + 1)
+			}
+		}
+		s.start()
+		end := zoneFrom + zoneFirst + max(zoneThen, s.lasts(zoneAsks))
+		for p, until := range []time.Duration{zoneWarm, zoneFrom, zoneFrom + zoneFirst, end} {
+			if s.phase = p; p == first {
+				s.lose(lost)
+				s.step(0, kList, snowhall.List{Scope: snowhall.Delta, Entries: news})
+			}
+			if err := s.run(ctx, until); err != nil {
+				return err
+			}
+		}
+		if err := s.finish(ctx); err != nil {
+			return fmt.Errorf("rank %d: %w", rank, err)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		for p := range sums {
+			sums[p].Add(s.phases[p])
+		}
+		least, mean = min(least, len(used)), mean+float64(len(used))
+		waits.Merge(mine)
+		return nil
+	})
+	if err != nil {
+		return cut(ctx, rep, fmt.Sprintf("%s, %v", what, size), err)
+	}
+	put := func(name, unit string, v float64, how string) {
+		rep.Add(Row{Name: name + ", " + what, Unit: unit, Doors: size.Doors, Backends: size.Backends, Value: v, How: how})
+	}
+	share := func(p int, n func(*Totals) int) float64 {
+		return float64(n(&sums[p])) / float64(max(1, sums[p].Requests))
+	}
+	atOnce := func(t *Totals) int { return t.AtOnce }
+	served := func(t *Totals) int { return t.Served }
+	who := fmt.Sprintf("%d of %d doors, even traffic", len(ranks), size.Doors)
+	put("at once before", "share", share(before, atOnce), fmt.Sprintf("of the requests of the %v before, sent within %v; %s",
+		zoneFrom-zoneWarm, atOnceWithin, who))
+	put("at once after", "share", share(first, atOnce), fmt.Sprintf("the same of the %v after; wait for the first attempt at "+
+		"the 99th percentile %.1f ms", zoneFirst, float64(waits.ValueAtQuantile(99))/1e3))
+	put("at once then", "share", share(then, atOnce), "the same of what came later")
+	put("served before", "share", share(before, served), who)
+	put("served after", "share", share(first, served), fmt.Sprintf("of the requests of the %v after", zoneFirst))
+	put("least backends", "backends", float64(least), fmt.Sprintf("that any of these doors sends to after it, in %v or the "+
+		"time of %d requests", zoneFirst+zoneThen, zoneAsks))
+	put("mean backends", "backends", mean/float64(len(ranks)), "the same, mean of these doors")
+	put("broken", "attempts", float64(sums[warm].Lost+sums[before].Lost+sums[first].Lost+sums[then].Lost),
+		"out at a backend that went, or sent to it later")
+	return nil
+}
