--- /dev/null
+++ b/cmd/scalerun/main.go
@@ -0,0 +1,284 @@
+// Command scalerun measures how a fleet of doors scales: the work and the memory of one door, and what all doors
+// together send to each backend and to the counter, at several numbers of doors and backends.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"snowhall/internal/scale"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command(os.Stdout, os.Stderr).ExecuteContext(ctx); err != nil {
+		os.Exit(1) // cobra has told it
+	}
+}
+
+// settings are what the flags say.
+type settings struct {
+	scale.Options
+	memoryMB uint64
+	within   time.Duration
+	json     string
+	// Of single measures.
+	doors, backends        []int
+	atDoors, atBackends    int
+	stretch                time.Duration
+	sampleDoors, customers int
+	counterBackends        int
+	quiet                  bool
+}
+
+var (
+	sweepBackends = []int{14, 200, 1000, 3000, 11000}
+	sweepDoors    = []int{3, 30, 300, 810}
+	coldSizes     = []scale.Size{{Doors: 3, Backends: 14}, {Doors: 30, Backends: 14}, {Doors: 300, Backends: 200},
+		{Doors: 810, Backends: 200}}
+	spreadSizes = []scale.Size{{Doors: 3, Backends: 14}, {Doors: 30, Backends: 14}, {Doors: 30, Backends: 200},
+		{Doors: 300, Backends: 200}, {Doors: 810, Backends: 200}, {Doors: 810, Backends: 11000},
+		{Doors: 810, Backends: 1000}}
+	zoneSizes = []scale.Size{{Doors: 3, Backends: 14}, {Doors: 30, Backends: 14}, {Doors: 810, Backends: 200},
+		{Doors: 810, Backends: 11000}}
+)
+
+// sampled is how many doors are played of a fleet that is too large to play all.
+const sampled = 4
+
+// command builds the command line. A further measure is one more entry in its list.
+func command(out, progress io.Writer) *cobra.Command {
+	s := settings{Options: scale.Defaults()}
+	root := &cobra.Command{
+		Use:   "scalerun",
+		Short: "Measure how a fleet of doors scales (with no subcommand: all)",
+		Long: "scalerun plays decision modules in virtual time, in one process, and measures how their work, their memory\n" +
+			"and what they do together grow with the doors and the backends. What a seed decides repeats with it;\n" +
+			"times are the machine's, and only their ratios within one run count.",
+		SilenceUsage: true,
+		Args:         cobra.NoArgs,
+	}
+	root.SetOut(out)
+	root.SetErr(progress)
+	f := root.PersistentFlags()
+	f.Uint64Var(&s.Seed, "seed", s.Seed, "seed of all traffic: the same gives the same events and counts")
+	f.StringVar(&s.json, "json", "", "also write the report as JSON to this file")
+	f.DurationVar(&s.within, "within", 2*time.Minute, "end after this; the report says what was cut")
+	f.IntVar(&s.Workers, "workers", runtime.NumCPU(), "doors played side by side where no time is measured")
+	f.Uint64Var(&s.memoryMB, "memory-mb", s.HeapLimit>>20, "end a measure when the heap holds more; half of the machine's "+
+		"by default")
+	f.Float64Var(&s.NoisyAbove, "noisy", s.NoisyAbove, "mark a time as noisy when its largest round is more than this many "+
+		"times its least")
+	f.DurationVar(&s.Budget, "budget", s.Budget, "real time for the rounds of one timing; three are made in any case")
+	f.Float64Var(&s.BackendRate, "backend-rate", s.BackendRate, "requests a second for each backend, on average")
+	f.Float64Var(&s.DoorRate, "door-rate", s.DoorRate, "requests a second that each door gets at most, on average")
+	f.Float64Var(&s.CustomerRate, "customer-rate", s.CustomerRate, "requests a second of each customer, on average; they "+
+		"come through 2 to 4 doors")
+	f.BoolVar(&s.quiet, "quiet", false, "don't tell what runs")
+
+	run := func(name, short string, measure func(context.Context, *scale.Report) error) *cobra.Command {
+		return &cobra.Command{Use: name, Short: short, Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			return s.run(c.Context(), out, progress, measure)
+		}}
+	}
+	sweep := run("sweep", "Time and weigh single doors over numbers of backends and of doors", s.sweep)
+	cold := run("cold", "Compare what all doors send to a backend just started with its budget", s.cold)
+	spread := run("spread", "Count the connections and the load of each backend, and what one change moves", s.spread)
+	zone := run("zone", "Take a seventh or a third of the backends away", s.zone)
+	counter := run("counter", "Count the calls to the counter", s.counter)
+	all := run("all", "All of these", s.all)
+	root.RunE = all.RunE
+	for _, c := range []*cobra.Command{root, sweep, all} {
+		c.Flags().IntSliceVar(&s.backends, "backends", sweepBackends, "numbers of backends to sweep over")
+		c.Flags().IntSliceVar(&s.doors, "doors", sweepDoors, "numbers of doors to sweep over")
+		c.Flags().IntVar(&s.atDoors, "at-doors", 810, "doors while the backends are swept over")
+		c.Flags().IntVar(&s.atBackends, "at-backends", 11000, "backends while the doors are swept over; 0: no such sweep")
+	}
+	for _, c := range []*cobra.Command{root, spread, all} {
+		c.Flags().DurationVar(&s.stretch, "stretch", 40*time.Second, "virtual time over which connections and load are counted; "+
+			"from 1,000 backends on, a quarter of it")
+	}
+	for _, c := range []*cobra.Command{root, counter, all} {
+		c.Flags().IntVar(&s.sampleDoors, "counter-doors", 16, "doors of 810 that are played to count calls; the rest is scaled")
+		c.Flags().IntVar(&s.counterBackends, "counter-backends", 1000, "backends while calls are counted; they bear any load")
+		c.Flags().IntVar(&s.customers, "customers", 19000, "customers of all 810 doors; a tenth and three times as many "+
+			"are played as well")
+	}
+	root.AddCommand(all, sweep, cold, spread, zone, counter)
+	return root
+}
+
+// run makes a report of measures and writes it, also when the time was up or an interrupt came. Only a failure
+// of a measure, or of the writing, is an error; an interrupt is told as one.
+func (s *settings) run(ctx context.Context, out, progress io.Writer, measure func(context.Context, *scale.Report) error) error {
+	s.HeapLimit = s.memoryMB << 20
+	if err := s.Check(); err != nil {
+		return err
+	}
+	if s.within <= 0 {
+		return errors.New("within: not above 0")
+	}
+	if !s.quiet {
+		s.Progress = &lines{w: progress}
+	}
+	timed, cancel := context.WithTimeoutCause(ctx, s.within, fmt.Errorf("the %v given were over", s.within))
+	defer cancel()
+	rep := scale.NewReport(s.Options)
+	err := measure(timed, rep)
+	rep.Close()
+	errs := []error{err, rep.Table(out)}
+	if s.json != "" {
+		errs = append(errs, rep.JSON(s.json))
+	}
+	if ctx.Err() != nil {
+		errs = append(errs, errors.New("interrupted; the report holds what was measured before"))
+	}
+	return errors.Join(errs...)
+}
+
+// lines lets measures that run side by side write whole lines.
+type lines struct {
+	mu sync.Mutex
+	w  io.Writer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.w.Write(b)
+}
+
+// part gives a measure a part of the time that is left.
+func part(ctx context.Context, share float64, f func(context.Context) error) error {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return f(ctx)
+	}
+	left := time.Duration(share * float64(time.Until(end)))
+	ctx, cancel := context.WithTimeoutCause(ctx, left, fmt.Errorf("its part of the time, %v, was over",
+		left.Round(100*time.Millisecond)))
+	defer cancel()
+	return f(ctx)
+}
+
+func (s *settings) sweep(ctx context.Context, rep *scale.Report) error {
+	var sizes []scale.Size
+	for _, b := range s.backends {
+		sizes = append(sizes, scale.Size{Doors: s.atDoors, Backends: b})
+	}
+	for _, d := range s.doors {
+		if size := (scale.Size{Doors: d, Backends: s.atBackends}); s.atBackends > 0 && !slices.Contains(sizes, size) {
+			sizes = append(sizes, size)
+		}
+	}
+	for _, size := range sizes {
+		if size.Doors < 1 || size.Backends < 1 {
+			return fmt.Errorf("%v: both must be above 0", size)
+		}
+	}
+	for _, size := range sizes {
+		if err := errors.Join(scale.Costs(ctx, s.Options, rep, size), scale.Memory(ctx, s.Options, rep, size)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *settings) cold(ctx context.Context, rep *scale.Report) error {
+	for _, size := range coldSizes {
+		for _, uneven := range []bool{false, true} {
+			if err := scale.Cold(ctx, s.Options, rep, size, uneven); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (s *settings) spread(ctx context.Context, rep *scale.Report) error {
+	if s.stretch <= 0 {
+		return errors.New("stretch: not above 0")
+	}
+	for _, size := range spreadSizes {
+		stretch, doors := s.stretch, 0
+		if size.Backends >= 1000 { // their doors get more requests
+			stretch /= 4
+		}
+		if size.Backends > 1000 {
+			doors = sampled
+		}
+		if err := scale.Spread(ctx, s.Options, rep, size, stretch, doors); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *settings) zone(ctx context.Context, rep *scale.Report) error {
+	for _, size := range zoneSizes {
+		doors := 0
+		if size.Backends > 1000 {
+			doors = sampled
+		}
+		for _, parts := range []int{7, 3} {
+			if err := scale.Zone(ctx, s.Options, rep, size, parts, doors); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (s *settings) counter(ctx context.Context, rep *scale.Report) error {
+	if s.sampleDoors < 1 || s.counterBackends < 1 || s.customers < 10 {
+		return errors.New("counter-doors or counter-backends under 1, or customers under 10")
+	}
+	size := scale.Size{Doors: 810, Backends: s.counterBackends}
+	total := s.DoorRate * float64(size.Doors)
+	variants := []struct {
+		customers int
+		rate      float64
+	}{{s.customers, total}, {s.customers, total / 2}, {s.customers / 10, total}, {s.customers * 3, total}}
+	reps, errs := make([]*scale.Report, len(variants)), make([]error, len(variants))
+	turns := make(chan struct{}, s.Workers)
+	var wait sync.WaitGroup
+	for i, v := range variants { // side by side: nothing is timed
+		wait.Go(func() {
+			turns <- struct{}{}
+			defer func() { <-turns }()
+			reps[i] = scale.NewReport(s.Options)
+			errs[i] = scale.Counter(ctx, s.Options, reps[i], size, v.customers, v.rate, s.sampleDoors)
+		})
+	}
+	wait.Wait()
+	for _, r := range reps {
+		rep.Add(r.Rows...)
+		rep.Cut = append(rep.Cut, r.Cut...)
+	}
+	return errors.Join(errs...)
+}
+
+// all makes every measure, each within its part of the time.
+func (s *settings) all(ctx context.Context, rep *scale.Report) error {
+	for _, m := range []struct {
+		share float64 // of the time left
+		f     func(context.Context, *scale.Report) error
+	}{{0.55, s.sweep}, {0.3, s.counter}, {0.3, s.cold}, {0.45, s.zone}, {0.97, s.spread}} {
+		if err := part(ctx, m.share, func(ctx context.Context) error { return m.f(ctx, rep) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/scalerun/main_test.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"snowhall/internal/scale"
+)
+
+// call runs the command line and returns what it printed, its progress and its error.
+func call(ctx context.Context, args ...string) (string, string, error) {
+	var out, progress bytes.Buffer
+	c := command(&out, &progress)
+	c.SetArgs(args)
+	err := c.ExecuteContext(ctx)
+	return out.String(), progress.String(), err
+}
+
+func TestSweepWritesTableAndJSON(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "r.json")
+	out, progress, err := call(context.Background(), "sweep", "--backends", "14,20", "--doors", "2", "--at-doors", "3",
+		"--at-backends", "20", "--budget", "0s", "--json", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rep scale.Report
+	b, err := os.ReadFile(path)
+	if err != nil || json.Unmarshal(b, &rep) != nil {
+		t.Fatalf("%v: %.300s", err, b)
+	}
+	sizes := map[scale.Size]bool{}
+	for _, r := range rep.Rows {
+		sizes[scale.Size{Doors: r.Doors, Backends: r.Backends}] = true
+		if !strings.Contains(out, r.Name) {
+			t.Errorf("%s is not in the table", r.Name)
+		}
+	}
+	if len(sizes) != 3 || len(rep.Cut) != 0 || !strings.Contains(progress, "3 doors x 14 backends") {
+		t.Errorf("sizes %v, cut %v, progress %q", sizes, rep.Cut, progress)
+	}
+}
+
+// Measures side by side give the rows of one after the other.
+func TestCounterSideBySide(t *testing.T) {
+	args := []string{"counter", "--customers", "400", "--counter-doors", "3", "--counter-backends", "20", "--door-rate", "5"}
+	rows := func(workers string) string {
+		out, _, err := call(context.Background(), append(args, "--workers", workers)...)
+		_, rows, ok := strings.Cut(out, "\nmeasure")
+		if err != nil || !ok || strings.Contains(out, "cut:") {
+			t.Fatalf("%v: %s", err, out)
+		}
+		return rows
+	}
+	one, four := rows("1"), rows("4")
+	if one != four || strings.Count(one, "calls a door") != 4 {
+		t.Errorf("%s\n%s", one, four)
+	}
+}
+
+func TestBadArguments(t *testing.T) {
+	for _, args := range [][]string{{"sweep", "--colour", "red"}, {"paint"}, {"cold", "hot"}, {"sweep", "--backends", "x"},
+		{"sweep", "--within", "-1s"}, {"sweep", "--workers", "0"}, {"sweep", "--doors", "0"}, {"cold", "--door-rate", "0"},
+		{"spread", "--stretch", "0s"}, {"counter", "--counter-doors", "0"}} {
+		if out, _, err := call(context.Background(), args...); err == nil {
+			t.Errorf("%v: no error: %s", args, out)
+		}
+	}
+}
+
+func TestHelpTellsEveryFlag(t *testing.T) {
+	for args, want := range map[string][]string{
+		"--help":         {"sweep", "cold", "zone", "spread", "counter", "--seed", "--json", "--within", "--workers", "--noisy"},
+		"sweep --help":   {"--backends", "--doors", "--at-doors", "--at-backends", "--memory-mb"},
+		"counter --help": {"--customers", "--counter-doors"},
+	} {
+		out, _, err := call(context.Background(), strings.Fields(args)...)
+		for _, w := range want {
+			if err != nil || !strings.Contains(out, w) {
+				t.Errorf("%s: %v, no %s in %s", args, err, w, out)
+			}
+		}
+	}
+}
+
+// An interrupt ends every measure: the report is written, says what was cut, and the command fails.
+func TestInterruptEndsAll(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	out, _, err := call(ctx)
+	if err == nil || !strings.Contains(err.Error(), "interrupted") || !strings.Contains(out, "cut: processor time") {
+		t.Errorf("%v: %s", err, out)
+	}
+}
--- a/internal/scale/counter.go
+++ b/internal/scale/counter.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	counterWarm = 4 * time.Second // virtual time before calls are counted ...
-	counterOver = 8 * time.Second // ... and over which they are
+	counterWarm = 5 * time.Second  // virtual time before calls are counted ...
+	counterOver = 10 * time.Second // ... and over which they are
 )
 
 // Counter tells how many calls the doors make, by the customers and the requests, to a counter that bears them all.
