--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -40,7 +40,7 @@
 	stretch                time.Duration
 	sampleDoors, customers int
 	counterBackends        int
-	quiet                  bool
+	quiet, wholeFleet      bool
 }
 
 var (
@@ -116,6 +116,9 @@
 		c.Flags().IntVar(&s.customers, "customers", 19000, "customers of all 810 doors; a tenth and three times as many "+
 			"are played as well")
 	}
+	for _, c := range []*cobra.Command{root, cold, spread, zone, all} {
+		c.Flags().BoolVar(&s.wholeFleet, "whole-fleet", false, "play all 810 doors over 11,000 backends too, not a few of them")
+	}
 	root.AddCommand(all, sweep, cold, spread, zone, counter)
 	return root
 }
@@ -197,7 +200,11 @@
 }
 
 func (s *settings) cold(ctx context.Context, rep *scale.Report) error {
-	for _, size := range coldSizes {
+	sizes := coldSizes
+	if s.wholeFleet {
+		sizes = append(slices.Clone(sizes), scale.Size{Doors: 810, Backends: 11000})
+	}
+	for _, size := range sizes {
 		for _, uneven := range []bool{false, true} {
 			if err := scale.Cold(ctx, s.Options, rep, size, uneven); err != nil {
 				return err
@@ -216,7 +223,7 @@
 		if size.Backends >= 1000 { // their doors get more requests
 			stretch /= 4
 		}
-		if size.Backends > 1000 {
+		if size.Backends > 1000 && !s.wholeFleet {
 			doors = sampled
 		}
 		if err := scale.Spread(ctx, s.Options, rep, size, stretch, doors); err != nil {
@@ -229,7 +236,7 @@
 func (s *settings) zone(ctx context.Context, rep *scale.Report) error {
 	for _, size := range zoneSizes {
 		doors := 0
-		if size.Backends > 1000 {
+		if size.Backends > 1000 && !s.wholeFleet {
 			doors = sampled
 		}
 		for _, parts := range []int{7, 3} {
--- a/cmd/scalerun/main_test.go
+++ b/cmd/scalerun/main_test.go
@@ -57,7 +57,8 @@
 		return rows
 	}
 	one, four := rows("1"), rows("4")
-	if one != four || strings.Count(one, "calls a door") != 4 {
+	table, _, ok := strings.Cut(one, "\nHow measured:")
+	if one != four || !ok || strings.Count(table, "calls a door") != 4 {
 		t.Errorf("%s\n%s", one, four)
 	}
 }
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -120,7 +121,7 @@
 	fmt.Fprintf(w, "/backends: over the value at %d backends (or the fewest) and the same doors. /doors: over that at the "+
 		"fewest doors and the same backends.\n\n", BaseBackends)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "measure\tdoors\tbackends\tvalue\tunit\t/backends\t/doors\tspread\trounds\t\thow measured")
+	fmt.Fprintln(t, "measure\tdoors\tbackends\tvalue\tunit\t/backends\t/doors\tspread\trounds\t")
 	for _, row := range r.Rows {
 		noisy := ""
 		if row.Noisy {
@@ -130,12 +131,23 @@
 		if row.Rounds > 0 {
 			rounds = strconv.Itoa(row.Rounds)
 		}
-		fmt.Fprintf(t, "%s\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", row.Name, row.Doors, row.Backends, short(row.Value),
-			row.Unit, ratio(row.ByBackends), ratio(row.ByDoors), ratio(row.Spread), rounds, noisy, row.How)
+		fmt.Fprintf(t, "%s\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", row.Name, row.Doors, row.Backends, short(row.Value),
+			row.Unit, ratio(row.ByBackends), ratio(row.ByDoors), ratio(row.Spread), rounds, noisy)
 	}
 	if err := t.Flush(); err != nil {
 		return err
 	}
+	fmt.Fprintln(w, "\nHow measured:")
+	for i, row := range r.Rows {
+		if slices.ContainsFunc(r.Rows[:i], func(o Row) bool { return o.Name == row.Name && o.How == row.How }) {
+			continue
+		}
+		size := ""
+		if slices.ContainsFunc(r.Rows, func(o Row) bool { return o.Name == row.Name && o.How != row.How }) {
+			size = fmt.Sprintf(", %d x %d", row.Doors, row.Backends)
+		}
+		fmt.Fprintf(w, "%s%s: %s\n", row.Name, size, row.How)
+	}
 	if n := r.noisy(); n > 0 {
 		fmt.Fprintf(w, "\nThe machine was too busy to trust %d of the times: those marked noisy.\n", n)
 	}
--- a/internal/scale/sums.go
+++ b/internal/scale/sums.go
@@ -30,57 +30,47 @@
 	return s
 }
 
-// changed compares the backends that a door used before and after: those new to it, and whether any differ.
-func changed(before, after map[string]int) (fresh int, differs bool) {
-	for name := range after {
-		if before[name] == 0 {
-			fresh++
-		}
-	}
-	return fresh, fresh > 0 || len(before) != len(after)
-}
-
-const settle = 500 * ms // after a change, before the next stretch
-
-// Spread plays every door of a size for four stretches: two with all backends, one with one less, and one with one
-// more in its place. It tells how many doors send to each backend, how evenly the load lies, and what a change moves. With a number
-// of doors above 0 it plays only these, and what needs all of them is left out.
+// Spread plays every door of a size for three stretches: with all backends, with one less, and with one more in its
+// place. It tells how many doors send to each backend, how evenly the load lies, and which doors turn to backends
+// that they have not sent to before; the second half of the first stretch tells how many do so by chance alone.
+// With a number of doors above 0 it plays only these, and what needs all of them is left out.
 func Spread(ctx context.Context, o Options, rep *Report, size Size, stretch time.Duration, doors int) error {
 	ranks := sample(size.Doors, doors)
 	o.say("connections and load, %v, %d played", size, len(ranks))
-	const control, before, less, more, phases = 0, 1, 2, 3, 4
+	const warm, half, same, less, more, phases = 0, 1, 2, 3, 4, 5
 	pop, entries := o.fleet(size, false), list(size.Backends)
 	leaver := entries[size.Backends/2]
 	leaver.State = snowhall.Terminating
 	comer := snowhall.Backend{Name: "n-00000001", Zone: leaver.Zone, Cell: leaver.Cell, Weight: 1}
 	var mu sync.Mutex
 	var all Totals
-	loads, meets, uses := [phases]map[string]int{}, [phases]map[string]int{}, map[string]int{}
-	for p := range phases {
-		loads[p], meets[p] = map[string]int{}, map[string]int{}
-	}
+	loads, meets, uses := map[string]int{}, map[string]int{}, map[string]int{}
 	var moved, fresh [phases]int
+	left, came := 0, 0
 	err := each(ctx, &o, ranks, func(rank int) error {
 		s, err := newSim(ctx, o.Seed, pop, size.Doors, []int{rank}, entries, phases)
 		if err != nil {
 			return err
 		}
-		s.start()
-		if err := s.run(ctx, warmUp); err != nil {
-			return err
+		var fresh1 [phases]int
+		seen, first := map[string]bool{}, map[string]int{} // ever; in the first stretch
+		s.onSend = func(_ int, backend string, _ time.Duration) {
+			if !seen[backend] {
+				seen[backend] = true
+				fresh1[s.phase]++
+			}
+			if s.phase == half || s.phase == same {
+				first[backend]++
+			}
 		}
-		var used [phases]map[string]int
-		for p := range phases {
+		s.start()
+		for p, lasts := range []time.Duration{max(warmUp, s.lasts(warmAsks)), stretch / 2, stretch / 2, stretch, stretch} {
+			s.phase = p
 			if p >= less {
 				b := []snowhall.Backend{leaver, comer}[p-less]
 				s.step(0, kList, snowhall.List{Scope: snowhall.Delta, Entries: []snowhall.Backend{b}})
-				if err := s.run(ctx, s.now+settle); err != nil {
-					return err
-				}
 			}
-			used[p], s.phase = map[string]int{}, p
-			s.onSend = func(_ int, backend string, _ time.Duration) { used[p][backend]++ }
-			if err := s.run(ctx, s.now+stretch); err != nil {
+			if err := s.run(ctx, s.now+lasts); err != nil {
 				return err
 			}
 		}
@@ -90,20 +80,22 @@
 		mu.Lock()
 		defer mu.Unlock()
 		all.Add(s.totals())
-		for p := range phases {
-			for name, n := range used[p] {
-				loads[p][name] += n
-				meets[p][name]++
-			}
-			if p > control {
-				n, differs := changed(used[p-1], used[p])
-				fresh[p] += n
-				if differs {
-					moved[p]++
-				}
+		for name, n := range first {
+			loads[name] += n
+			meets[name]++
+		}
+		for p, n := range fresh1 {
+			if fresh[p] += n; n > 0 {
+				moved[p]++
 			}
 		}
-		uses[fmt.Sprint(rank)] = len(used[before])
+		if seen[leaver.Name] {
+			left++
+		}
+		if seen[comer.Name] {
+			came++
+		}
+		uses[fmt.Sprint(rank)] = len(first)
 		return nil
 	})
 	if err != nil {
@@ -120,7 +112,7 @@
 	put("connections mean", "doors", u.mean*float64(size.Doors)/float64(size.Backends), "distinct doors that send to a backend, "+
 		"mean of the backends: backends mean x doors / backends")
 	if len(ranks) == size.Doors {
-		c, l := statsOf(meets[before], size.Backends), statsOf(loads[before], size.Backends)
+		c, l := statsOf(meets, size.Backends), statsOf(loads, size.Backends)
 		noise := 1 / math.Sqrt(max(1, l.mean))
 		put("connections most", "doors", c.most, "the same, most of the backends")
 		put("connections least", "doors", c.least, "the same, least of the backends")
@@ -129,12 +121,20 @@
 			1+noise*math.Sqrt(2*math.Log(float64(size.Backends))), how))
 		put("load least", "x mean", l.least/l.mean, "the same, of the idlest backend")
 	}
-	for p := before; p <= more; p++ {
-		word := []string{"no change", "one leaves", "one comes"}[p-before]
-		put("doors changed, "+word, "doors", float64(moved[p]), "doors that send to other backends in the stretch after than "+
-			"in that before")
-		put("pairs new, "+word, "pairs", float64(fresh[p]), "pairs of door and backend that the stretch before did not have")
+	for p, word := range []string{same: "no change", less: "one leaves", more: "one comes"} {
+		if p < same {
+			continue
+		}
+		lasts := stretch
+		if p == same {
+			lasts /= 2
+		}
+		put("doors moved, "+word, "doors", float64(moved[p]), fmt.Sprintf("of %d: those that in the %v after send to a backend "+
+			"for the first time since their start", len(ranks), lasts))
+		put("pairs new, "+word, "pairs", float64(fresh[p]), "pairs of such a door and backend")
 	}
+	put("doors of the leaver", "doors", float64(left), fmt.Sprintf("of %d: those that ever sent to the one that leaves", len(ranks)))
+	put("doors of the comer", "doors", float64(came), "the same of the one that comes; they count as moved")
 	put("served", "share", float64(all.Served)/float64(max(1, all.Requests)), "of all requests; a tenth of the customers "+
 		"ask for more than their quota; each door has a counter to itself")
 	return nil
