Weigh as many doors of a small fleet as of a large one; add the slope of the counter calls

Few doors of 14 KB are lost in the heap's spans, and a heap that shrank meanwhile must not give a huge number. The slope is the calls that each further request brings from half the rate to the full one.

--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"runtime"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -274,9 +275,24 @@
 		rep.Add(r.Rows...)
 		rep.Cut = append(rep.Cut, r.Cut...)
 	}
+	if full, half := callsOfAll(reps[0]), callsOfAll(reps[1]); full > 0 && half > 0 {
+		rep.Add(scale.Row{Name: "calls slope", Unit: "x", Doors: size.Doors, Backends: size.Backends,
+			Value: (full - half) / (total / 2), How: fmt.Sprintf("calls that each further request brings, from %.0f to %.0f "+
+				"requests a second of %d customers", total/2, total, s.customers)})
+	}
 	return errors.Join(errs...)
 }
 
+// callsOfAll is the calls a second in a report of scale.Counter; 0 if it was cut.
+func callsOfAll(r *scale.Report) float64 {
+	for _, row := range r.Rows {
+		if strings.HasPrefix(row.Name, "calls of all") {
+			return row.Value
+		}
+	}
+	return 0
+}
+
 // all makes every measure, each within its part of the time.
 func (s *settings) all(ctx context.Context, rep *scale.Report) error {
 	for _, m := range []struct {
--- a/cmd/scalerun/main_test.go
+++ b/cmd/scalerun/main_test.go
@@ -58,7 +58,8 @@
 	}
 	one, four := rows("1"), rows("4")
 	table, _, ok := strings.Cut(one, "\nHow measured:")
-	if one != four || !ok || strings.Count(table, "calls a door") != 4 {
+	if one != four || !ok || strings.Count(table, "calls a door") != 4 ||
+		strings.Count(table, "calls slope") != 1 {
 		t.Errorf("%s\n%s", one, four)
 	}
 }
--- a/internal/scale/costs.go
+++ b/internal/scale/costs.go
@@ -231,8 +231,11 @@
 func Memory(ctx context.Context, o Options, rep *Report, size Size) error {
 	o.say("memory, %v", size)
 	pop, entries := o.fleet(size, false), list(size.Backends)
-	k := min(size.Doors, max(4, min(64, 40000/size.Backends)))
-	ranks := sample(size.Doors, k)
+	k := max(4, min(64, 40000/size.Backends))
+	ranks := make([]int, k) // of a small fleet several doors have one rank
+	for i := range ranks {
+		ranks[i] = i * size.Doors / k
+	}
 	before := heapInUse()
 	s, err := newSim(ctx, o.Seed, pop, size.Doors, ranks, entries, 1)
 	if err != nil {
@@ -240,7 +243,7 @@
 	}
 	doors := s.doors
 	row := func(name, how string) {
-		each := float64(heapInUse()-before) / float64(k)
+		each := (float64(heapInUse()) - float64(before)) / float64(k)
 		rep.Add(Row{Name: name, Unit: "bytes", Doors: size.Doors, Backends: size.Backends, Value: each,
 			How: fmt.Sprintf("heap in use after a collection with %d doors less that before, for each; %s; all %d would "+
 				"take %.0f MB", k, how, size.Doors, each*float64(size.Doors)/1e6)})
