--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -206,8 +206,8 @@
 		sizes = append(slices.Clone(sizes), scale.Size{Doors: 810, Backends: 11000})
 	}
 	for _, size := range sizes {
-		for _, uneven := range []bool{false, true} {
-			if err := scale.Cold(ctx, s.Options, rep, size, uneven); err != nil {
+		for _, traffic := range []scale.Traffic{scale.Even, scale.Uneven, scale.Pressed} {
+			if err := scale.Cold(ctx, s.Options, rep, size, traffic); err != nil {
 				return err
 			}
 		}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -28,7 +28,7 @@
 	rep, ctx := NewReport(o), context.Background()
 	for _, err := range []error{
 		Spread(ctx, o, rep, small, 4*time.Second, 0), Spread(ctx, o, rep, mid, 2*time.Second, 4),
-		Cold(ctx, o, rep, small, false), Cold(ctx, o, rep, mid, true),
+		Cold(ctx, o, rep, small, Even), Cold(ctx, o, rep, mid, Uneven), Cold(ctx, o, rep, mid, Pressed),
 		Zone(ctx, o, rep, small, 7, 0), Zone(ctx, o, rep, mid, 3, 4),
 		Counter(ctx, o, rep, mid, 60, 240, 5),
 	} {
@@ -60,7 +60,7 @@
 		t.Error("two seeds gave the same")
 	}
 	for _, r := range a.Rows {
-		if r.Timed() || r.Value < 0 || r.How == "" {
+		if r.Timed() || r.Value < 0 || r.How == "" || strings.HasPrefix(r.Name, "cold ratio") && r.Value > 1 {
 			t.Errorf("%+v", r)
 		}
 	}
@@ -238,7 +238,7 @@
 		rep := NewReport(v.o)
 		for _, err := range []error{
 			Costs(v.ctx, v.o, rep, small), Memory(v.ctx, v.o, rep, small),
-			Spread(v.ctx, v.o, rep, small, time.Second, 0), Cold(v.ctx, v.o, rep, small, false),
+			Spread(v.ctx, v.o, rep, small, time.Second, 0), Cold(v.ctx, v.o, rep, small, Even),
 			Zone(v.ctx, v.o, rep, small, 7, 0), Counter(v.ctx, v.o, rep, small, 20, 10, 3),
 		} {
 			if err != nil {
--- a/internal/scale/sums.go
+++ b/internal/scale/sums.go
@@ -141,21 +141,32 @@
 }
 
 const (
-	coldFrom  = 10 * time.Second // when the cold backend starts
-	coldMeets = 5 * time.Second  // before that, over which the others' load is taken
+	coldFrom   = 10 * time.Second // when the cold backend starts
+	pressAfter = 2 * time.Second
+	coldMeets  = 5 * time.Second // before that, over which the others' load is taken
+)
+
+// Traffic is what comes to the doors while a backend is cold.
+type Traffic string
+
+const (
+	Even    Traffic = "even"
+	Uneven  Traffic = "uneven"  // a tenth of the doors get five times the mean
+	Pressed Traffic = "pressed" // even, and pressAfter the start all other backends drain
 )
 
 // Cold lets all doors of a size learn at one moment that a backend has started, and compares what they send it
-// together, in any window, with its budget. Its full capacity is taken for no more than what the others carried.
-func Cold(ctx context.Context, o Options, rep *Report, size Size, uneven bool) error {
-	word := "even"
-	if uneven {
-		word = "uneven"
-	}
+// together, in any window, with its budget. Its full capacity is taken for no more than what the others carried
+// before it came.
+func Cold(ctx context.Context, o Options, rep *Report, size Size, word Traffic) error {
 	o.say("cold backend, %v, %s traffic", size, word)
-	pop, entries := o.fleet(size, uneven), list(size.Backends)
+	pop, entries := o.fleet(size, word == Uneven), list(size.Backends)
 	set := Settings(size.Doors, 0, pop.mean)
 	comer := snowhall.Backend{Name: "n-00000001", Weight: 1, Started: coldFrom}
+	drained := list(size.Backends)
+	for i := range drained {
+		drained[i].State = snowhall.Terminating
+	}
 	var mu sync.Mutex
 	var all Totals
 	var sends []time.Duration // since the start
@@ -169,7 +180,9 @@
 		warm := 0
 		s.onSend = func(_ int, backend string, at time.Duration) {
 			if backend == comer.Name {
-				cold = append(cold, at-coldFrom)
+				if at < coldFrom+set.WarmWithin { // what waits until it is warm no longer counts
+					cold = append(cold, at-coldFrom)
+				}
 			} else if at >= coldFrom-coldMeets && at < coldFrom {
 				warm++
 			}
@@ -179,6 +192,12 @@
 			return err
 		}
 		s.step(0, kList, snowhall.List{Scope: snowhall.Delta, Entries: []snowhall.Backend{comer}})
+		if word == Pressed {
+			if err := s.run(ctx, coldFrom+pressAfter); err != nil {
+				return err
+			}
+			s.step(0, kList, snowhall.List{Scope: snowhall.Delta, Entries: drained})
+		}
 		if err := s.run(ctx, coldFrom+set.WarmWithin); err != nil {
 			return err
 		}
@@ -201,7 +220,7 @@
 	capacity := float64(carried) / coldMeets.Seconds() / float64(size.Backends) // requests a second
 	w := worstWindow(sends, &set, capacity)
 	put := func(name, unit string, v float64, how string) {
-		rep.Add(Row{Name: name + ", " + word, Unit: unit, Doors: size.Doors, Backends: size.Backends, Value: v, How: how})
+		rep.Add(Row{Name: name + ", " + string(word), Unit: unit, Doors: size.Doors, Backends: size.Backends, Value: v, How: how})
 	}
 	put("cold sum", "sends", float64(w.sum), fmt.Sprintf("to one cold backend by all %d doors in the window of %v that comes "+
 		"nearest to its budget, %.1f s after the start", size.Doors, set.FallWindow, w.from.Seconds()))
