Give one slot to one request, also where refusals let others come to it

Cause: fill asks whether a slot is free, then picks. pick refuses what is stale, a refusal ends its customer's attempt, serve places the customer's next request, and that fills the same slot from within. fill then sent its own pick too, with no second look; a request that had gone out from within was refused while out.

Change: fill looks again after the pick. TestOneSlotIsGivenOnce sends two for one slot without it.

--- a/door.go
+++ b/door.go
@@ -750,6 +750,9 @@
 		if r == nil {
 			return
 		}
+		if r.on != from || !d.free(s) || d.coldFull(s) { // its refusals let others come here meanwhile
+			continue
+		}
 		d.unqueue(r)
 		d.send(r, s, false)
 	}
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -260,3 +260,31 @@
 		})
 	}
 }
+
+// A refusal frees a place among its customer's attempts, so another request may come to the same slot while the
+// one that is to have it is still being picked: the slot goes to one of them.
+func TestOneSlotIsGivenOnce(t *testing.T) {
+	set := basic()
+	set.Counter, set.Doors, set.Plans[3].AtOnce = false, 1, 1
+	d := open(t, set, backends(1)...)
+	s := d.servers["b0"]
+	s.slots = 1
+	of := func(id uint64, customer string) Request {
+		r := ask(id, 2, 3)
+		r.Customer = customer
+		return r
+	}
+	first := only[Send](d.Step(0, []Event{of(1, "x")}))
+	d.Step(ms, []Event{of(2, "a"), of(3, "b")}) // queued, and too old when the slot is free
+	acts := d.Step(400*ms, []Event{of(4, "a"), of(5, "b")})
+	if len(first) != 1 || len(acts) != 2 || s.queued != 2 || len(s.outs) != 1 { // only their timers are set
+		t.Fatalf("%d sent, %d queued, then %v", len(first), s.queued, acts)
+	}
+	acts = d.Step(490*ms, []Event{Outcome{ID: 1, Backend: "b0", Status: Failed, Latency: 490 * ms}})
+	if n := len(only[Refuse](acts)); n != 2 {
+		t.Errorf("%d refused: %v", n, acts)
+	}
+	if sends := only[Send](acts); len(sends) != 1 || len(s.outs) != 1 || s.queued != 1 {
+		t.Errorf("%d sends for one slot, %d left in the queue: %v", len(sends), s.queued, acts)
+	}
+}
