Count for a warm backend's rate only the answers of those that are counted

Cause: answers still come from backends that drain, and rateAdd divided them by the few that are left in service (learn, rateAdd): each counted for up to 60.

Change: only answers of usable warm backends count.

--- a/door.go
+++ b/door.go
@@ -929,7 +929,7 @@
 		s.slots = min(1, s.slots) * fullBy
 	case OK:
 		s.slow = max(0.2, s.slow+slowGain*(ratio-s.slow))
-		if !s.cold {
+		if s.counted { // what still comes from those that have gone would count for few
 			d.rateAdd()
 		}
 		d.answers[class]++
