Hold a cold backend's share of each door to its size, and of many doors in sum

Cause, in coldFull: a share of under one send became a turn at least once in the warm-up, however many doors share the backend: 810 doors make 135 sends of it in a window. And a share of 1.1 let two go, for all doors in the same moment.

Change: the longest pause grows with the doors that share a backend, to three sends in a window by all of them; at up to 18 doors it is as before. A share between whole numbers is held by a longer time for the whole number.

TestColdBudgetHoldsForTheFleet holds as before.

--- a/door.go
+++ b/door.go
@@ -100,6 +100,7 @@
 	trialWait   = 4.0                     // ... and that the trial may take of it
 	restartTime = 2 * time.Second         // a server silent for longer may have been started anew
 	rateOver    = 3.0                     // seconds over which the sends to a warm server are averaged
+	coldLeast   = 3.0                     // sends in a cold window that the doors together may make unasked ...
 	coldMargin  = 0.5                     // share of the cold budget that is used: work differs from mean work
 	forgetAfter = 60 * time.Second        // an idle customer is forgotten
 )
@@ -800,9 +801,9 @@
 	}
 	span := d.set.FallWindow.Seconds()
 	budget := coldMargin * d.set.FallMultiple * w * d.met() * span * s.weight / cmp.Or(d.weight, s.weight)
-	if budget < 1 {
-		span = min(span/budget, d.set.WarmWithin.Seconds())
-		budget = 1
+	whole := max(1, math.Floor(budget)) // so many in a time as much longer or shorter: all doors round alike
+	if span *= whole / budget; budget < 1 {
+		span = min(span, max(d.set.WarmWithin.Seconds(), d.set.FallWindow.Seconds()*d.sharers/coldLeast))
 		if s.coldTurn == 0 {
 			s.coldTurn = d.now + time.Duration(d.rng.Float64()*span*float64(time.Second))
 		}
@@ -810,7 +811,7 @@
 	for len(s.recent) > 0 && (d.now-s.recent[0]).Seconds() >= span {
 		s.recent = s.recent[1:]
 	}
-	return float64(len(s.recent)) >= budget || d.now < s.coldTurn
+	return float64(len(s.recent)) >= whole || d.now < s.coldTurn
 }
 
 // send is the one place that sends. The guards come last here, whatever was decided before.
