Ask in the test of indented lists only once the list has been taken

The test asked right behind the change; a request that crosses it may rightly go by the list before, to a backend that the test does not serve.

--- a/internal/front/discovery_test.go
+++ b/internal/front/discovery_test.go
@@ -131,6 +131,21 @@
 	b.nc.Close()
 }
 
+// listed waits until the loop has taken a list or change whole: a request that crosses it may go by the one before.
+func (w *world) listed(index int64) {
+	w.t.Helper()
+	for end := time.Now().Add(patient); ; time.Sleep(time.Millisecond) {
+		now := make(chan int64, 1)
+		w.f.post(func() { now <- w.f.discovery.index })
+		if <-now == index {
+			return
+		}
+		if time.Now().After(end) {
+			w.t.Fatalf("list %d has not been taken", index)
+		}
+	}
+}
+
 // A list may come indented, on many lines and in any pieces, with the signs of life between two lists.
 func TestIndentedLists(t *testing.T) {
 	first, second := listen(t), listen(t)
@@ -151,6 +166,7 @@
 	half := len(text) / 2
 	watch.chunk(string(text[:half]))
 	watch.chunk(string(text[half:]) + "\n\r\n\r\n")
+	w.listed(7)
 	w.served(first, "1")
 	m := members(8, first.Addr().String(), second.Addr().String())
 	m.Snapshot, m.Endpoints[0].Status = false, "DRAINING"
@@ -159,6 +175,7 @@
 		t.Fatal(err)
 	}
 	watch.chunk(string(text) + "\n")
+	w.listed(8)
 	w.served(second, "2") // no other watch was opened for it
 }
 
