Keep a close and a read of one client's connection from waiting for each other

Cause: a test that closed its client as an attempt began hung in about one play of ten. The stacks show the loop in client.close, which holds the connection's lock while net.Conn.Close waits until nobody uses the descriptor, and the reader in client.receive, which uses the descriptor and waits for that lock. The loop, or the goroutine that accepts, then stands still for good.

Change: the reader tries the lock while it uses the descriptor, and gives up once the closing has begun.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -52,6 +53,8 @@
 	spoken atomic.Bool  // it has asked something
 	idle   atomic.Int64 // since when no request is open, on the loop's clock; 0: one is
 
+	closing atomic.Bool // set before the connection is closed
+
 	mu      sync.Mutex
 	room    *sync.Cond // slots have become free, or the connection has ended
 	slots   []*slot    // in the order of the commands
@@ -138,7 +141,13 @@
 	n := 0
 	var failed error
 	err := c.raw.Read(func(fd uintptr) bool {
-		c.mu.Lock()
+		for !c.mu.TryLock() { // not Lock: who closes holds mu, and the closing waits until this is left
+			if c.closing.Load() {
+				failed = net.ErrClosed
+				return true
+			}
+			runtime.Gosched()
+		}
 		defer c.mu.Unlock()
 		n, failed = syscall.Read(int(fd), b)
 		for failed == syscall.EINTR {
@@ -448,6 +457,7 @@
 func (c *client) close() {
 	if !c.closed {
 		c.closed = true
+		c.closing.Store(true)
 		c.nc.Close()
 		c.room.Broadcast()
 	}
--- a/internal/front/gone_test.go
+++ b/internal/front/gone_test.go
@@ -166,3 +166,32 @@
 		})
 	}
 }
+
+// A connection can be closed while its reader is about to read: the closing waits for the reader, which must not
+// wait for who closes.
+func TestCloseCrossingARead(t *testing.T) {
+	f := idle(t, freeAddr(t))
+	c, p := pair(t, f)
+	c.mu.Lock()
+	read := make(chan error, 1)
+	go func() {
+		_, err := c.receive(make([]byte, 1))
+		read <- err
+	}()
+	time.Sleep(20 * time.Millisecond) // it gets as far as it can
+	closed := make(chan struct{})
+	go func() {
+		c.close()
+		c.mu.Unlock()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(patient):
+		t.Fatal("the closing and the reader wait for each other")
+	}
+	if err := <-read; err == nil {
+		t.Error("something was read")
+	}
+	p.wantsEnd()
+}
