--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -35,6 +35,7 @@
 	memoryMB uint64
 	within   time.Duration
 	json     string
+	against  string
 	// Of single measures.
 	doors, backends        []int
 	atDoors, atBackends    int
@@ -76,6 +77,7 @@
 	f := root.PersistentFlags()
 	f.Uint64Var(&s.Seed, "seed", s.Seed, "seed of all traffic: the same gives the same events and counts")
 	f.StringVar(&s.json, "json", "", "also write the report as JSON to this file")
+	f.StringVar(&s.against, "against", "", "also print the values of an earlier run, from the JSON that it wrote to this file")
 	f.DurationVar(&s.within, "within", 2*time.Minute, "end after this; the report says what was cut")
 	f.IntVar(&s.Workers, "workers", runtime.NumCPU(), "doors played side by side where no time is measured")
 	f.Uint64Var(&s.memoryMB, "memory-mb", s.HeapLimit>>20, "end a measure when the heap holds more; half of the machine's "+
@@ -134,6 +136,18 @@
 	if s.within <= 0 {
 		return errors.New("within: not above 0")
 	}
+	var old *scale.Report
+	if s.against != "" {
+		var err error
+		if old, err = scale.ReadReport(s.against); err != nil {
+			return err
+		}
+	}
+	if s.json != "" { // to find out now, not after minutes
+		if err := os.WriteFile(s.json+".part", nil, 0o644); err != nil {
+			return err
+		}
+	}
 	if !s.quiet {
 		s.Progress = &lines{w: progress}
 	}
@@ -142,6 +156,9 @@
 	rep := scale.NewReport(s.Options)
 	err := measure(timed, rep)
 	rep.Close()
+	if old != nil {
+		rep.Against(old)
+	}
 	errs := []error{err, rep.Table(out)}
 	if s.json != "" {
 		errs = append(errs, rep.JSON(s.json))
--- a/cmd/scalerun/main_test.go
+++ b/cmd/scalerun/main_test.go
@@ -67,7 +67,8 @@
 func TestBadArguments(t *testing.T) {
 	for _, args := range [][]string{{"sweep", "--colour", "red"}, {"paint"}, {"cold", "hot"}, {"sweep", "--backends", "x"},
 		{"sweep", "--within", "-1s"}, {"sweep", "--workers", "0"}, {"sweep", "--doors", "0"}, {"cold", "--door-rate", "0"},
-		{"spread", "--stretch", "0s"}, {"counter", "--counter-doors", "0"}} {
+		{"spread", "--stretch", "0s"}, {"counter", "--counter-doors", "0"},
+		{"cold", "--against", "no such file"}, {"cold", "--json", "no/such/folder"}} {
 		if out, _, err := call(context.Background(), args...); err == nil {
 			t.Errorf("%v: no error: %s", args, out)
 		}
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -27,6 +27,7 @@
 	// fewest doors and the same backends; 0 where that was not measured.
 	ByBackends float64 `json:"by_backends,omitempty"`
 	ByDoors    float64 `json:"by_doors,omitempty"`
+	Before     float64 `json:"before,omitempty"` // the value in an earlier report; see Report.Against
 	How        string  `json:"how"`
 }
 
@@ -47,7 +48,8 @@
 	HeapLimit  uint64   `json:"heap_limit_bytes"`
 	NoisyAbove float64  `json:"noisy_above"` // of Row.Spread
 	Rows       []Row    `json:"rows"`
-	Cut        []string `json:"cut"` // what was not measured, and why
+	Cut        []string `json:"cut"`               // what was not measured, and why
+	Earlier    string   `json:"earlier,omitempty"` // the run whose values are in Row.Before
 	began      time.Time
 }
 
@@ -101,6 +103,34 @@
 	}
 }
 
+// ReadReport reads what JSON has written.
+func ReadReport(path string) (*Report, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var r Report
+	if err := json.Unmarshal(b, &r); err != nil {
+		return nil, fmt.Errorf("%s is no report: %w", path, err)
+	}
+	return &r, nil
+}
+
+// Against takes the values of an earlier report beside those of this one. The times of two runs compare only as far
+// as the machine was as busy in both.
+func (r *Report) Against(old *Report) {
+	for i := range r.Rows {
+		row := &r.Rows[i]
+		for _, o := range old.Rows {
+			if o.Name == row.Name && o.Doors == row.Doors && o.Backends == row.Backends {
+				row.Before = o.Value
+			}
+		}
+	}
+	r.Earlier = fmt.Sprintf("seed %d, %d cores, load average %s before and %s after", old.Seed, old.Cores, old.LoadBefore,
+		old.LoadAfter)
+}
+
 // swept says whether there are two sizes or more for a row of those that the test holds for.
 func (r *Report) swept(row *Row, same func(*Row) bool) bool {
 	n := 0
@@ -120,19 +150,28 @@
 		"%.2g it is noisy.\n", r.NoisyAbove)
 	fmt.Fprintf(w, "/backends: over the value at %d backends (or the fewest) and the same doors. /doors: over that at the "+
 		"fewest doors and the same backends.\n\n", BaseBackends)
+	earlier := ""
+	if r.Earlier != "" {
+		fmt.Fprintf(w, "/before: over the value of the earlier run (%s).\n\n", r.Earlier)
+		earlier = "before\t/before\t"
+	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "measure\tdoors\tbackends\tvalue\tunit\t/backends\t/doors\tspread\trounds\t")
+	fmt.Fprintln(t, "measure\tdoors\tbackends\tvalue\tunit\t/backends\t/doors\tspread\trounds\t\t"+earlier)
 	for _, row := range r.Rows {
 		noisy := ""
 		if row.Noisy {
 			noisy = "noisy"
 		}
+		was := ""
+		if row.Before != 0 {
+			was = short(row.Before) + "\t" + ratio(row.Value/row.Before) + "\t"
+		}
 		rounds := ""
 		if row.Rounds > 0 {
 			rounds = strconv.Itoa(row.Rounds)
 		}
-		fmt.Fprintf(t, "%s\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", row.Name, row.Doors, row.Backends, short(row.Value),
-			row.Unit, ratio(row.ByBackends), ratio(row.ByDoors), ratio(row.Spread), rounds, noisy)
+		fmt.Fprintf(t, "%s\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", row.Name, row.Doors, row.Backends, short(row.Value),
+			row.Unit, ratio(row.ByBackends), ratio(row.ByDoors), ratio(row.Spread), rounds, noisy, was)
 	}
 	if err := t.Flush(); err != nil {
 		return err
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -211,10 +209,22 @@
 	if err := rep.JSON(path); err != nil {
 		t.Fatal(err)
 	}
-	b, err := os.ReadFile(path)
-	var back Report
-	if err != nil || json.Unmarshal(b, &back) != nil || !slices.Equal(back.Rows, rep.Rows) || back.Seed != o.Seed {
-		t.Errorf("%v: %.300s", err, b)
+	back, err := ReadReport(path)
+	if err != nil || !slices.Equal(back.Rows, rep.Rows) || back.Seed != o.Seed {
+		t.Fatalf("%v: %+v", err, back)
+	}
+	next := Report{Rows: slices.Clone(rep.Rows)}
+	next.Rows[0].Value *= 3
+	next.Rows = append(next.Rows, Row{Name: "none before", Unit: "x"})
+	if next.Against(back); next.Rows[0].Before*3 != next.Rows[0].Value || next.Rows[len(rep.Rows)].Before != 0 {
+		t.Errorf("against what was written: %+v", next.Rows[0])
+	}
+	var both strings.Builder
+	if next.Table(&both); !strings.Contains(both.String(), "  3.00") {
+		t.Errorf("no ratio to the earlier run in %s", &both)
+	}
+	if _, err := ReadReport("scale_test.go"); err == nil {
+		t.Error("a file that is no report was taken")
 	}
 	var table strings.Builder
 	if err := rep.Table(&table); err != nil || strings.Count(table.String(), "\n") < len(rep.Rows) {
