Let a world that can't be made close what it has opened, and run real doors from the command

Seen: a mixed run in a folder without a deploy file crashed: newWorld returned no world, and its deferred close then used that. It closes what was made. The test of the new subcommand, scalerun mixed, starts one there and wants an error.

--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -68,7 +68,7 @@
 		Short: "Measure how a fleet of doors scales (with no subcommand: all)",
 		Long: "scalerun plays decision modules in virtual time, in one process, and measures how their work, their memory\n" +
 			"and what they do together grow with the doors and the backends. What a seed decides repeats with it;\n" +
-			"times are the machine's, and only their ratios within one run count.",
+			"times are the machine's, and only their ratios within one run count. mixed alone starts real doors.",
 		SilenceUsage: true,
 		Args:         cobra.NoArgs,
 	}
@@ -122,7 +122,7 @@
 	for _, c := range []*cobra.Command{root, cold, spread, zone, all} {
 		c.Flags().BoolVar(&s.wholeFleet, "whole-fleet", false, "play all 810 doors over 11,000 backends too, not a few of them")
 	}
-	root.AddCommand(all, sweep, cold, spread, zone, counter)
+	root.AddCommand(all, sweep, cold, spread, zone, counter, s.mixedCommand(run))
 	return root
 }
 
--- a/cmd/scalerun/main_test.go
+++ b/cmd/scalerun/main_test.go
@@ -99,3 +99,26 @@
 		t.Errorf("%v: %s", err, out)
 	}
 }
+
+// A run in real time is part of the same report; without real doors it needs no build.
+func TestMixedIsReported(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "m.json")
+	out, _, err := call(context.Background(), "mixed", "--real", "0", "--hollow", "2", "--told", "30", "--backends", "14",
+		"--requests", "5", "--drains", "0", "--restarts", "0", "--json", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rep scale.Report
+	b, err := os.ReadFile(path)
+	if err != nil || json.Unmarshal(b, &rep) != nil || len(rep.Rows) == 0 {
+		t.Fatalf("%v: %.300s", err, b)
+	}
+	for _, r := range rep.Rows {
+		if r.Backends != 14 || !strings.Contains(out, r.Name) {
+			t.Errorf("%+v", r)
+		}
+	}
+	if _, _, err := call(context.Background(), "mixed", "--root", t.TempDir(), "--backends", "14", "--requests", "1"); err == nil {
+		t.Error("a folder with no program gave no error")
+	}
+}
--- a/internal/mixed/world.go
+++ b/internal/mixed/world.go
@@ -100,9 +100,10 @@
 		report: &Report{RealDoors: o.RealDoors, HollowDoors: o.HollowDoors,
 			Doors: o.Doors, Backends: o.Backends, Customers: o.Customers,
 			Rate: o.Rate, Seed: o.Seed}}
+	made := w // a return of no world must still close what was opened
 	defer func() {
 		if err != nil {
-			w.close()
+			made.close()
 		}
 	}()
 	if w.command, err = runCommand(o.Root); err != nil && o.RealDoors > 0 {
