Wait for the readers in the test of idle clients before their idle times are set

A reader that had answered and not come back to its next read made closeNow take the connection for busy.

--- a/internal/front/clients_test.go
+++ b/internal/front/clients_test.go
@@ -239,17 +239,23 @@
 		c.wantsPrefix("-LOADING")
 		all = append(all, c)
 	}
-	// since sets for how long a client's connection has been idle; below 0 it is never long enough.
+	// since sets for how long a client's connection has been idle; below 0 it is never long enough. Until its reader
+	// waits for the next command, it stands within the one before.
 	since := func(ages map[int]time.Duration) {
+		found := map[*client]time.Duration{}
 		w.f.clients.mu.Lock()
-		defer w.f.clients.mu.Unlock()
 		for c := range w.f.clients.all {
 			for i, age := range ages {
 				if c.nc.RemoteAddr().String() == all[i].nc.LocalAddr().String() {
-					c.idle.Store(int64(w.f.now() - age))
+					found[c] = age
 				}
 			}
 		}
+		w.f.clients.mu.Unlock()
+		for c, age := range found {
+			readerWaits(t, c, "IO wait")
+			c.idle.Store(int64(w.f.now() - age))
+		}
 	}
 	since(map[int]time.Duration{0: -time.Hour, 1: -time.Hour, 2: -time.Hour, 3: -time.Hour})
 	refused := w.dial()
