--- a/fleet_test.go
+++ b/fleet_test.go
@@ -207,6 +207,53 @@
 	}
 }
 
+// BenchmarkSubsets tells how evenly all 810 doors share out the fleet, by their subsets alone: the busiest backend over
+// the mean, the doors that have it least and most, the doors whose subset one departure changes, and what is left of
+// the smallest subset when a zone is lost.
+func BenchmarkSubsets(b *testing.B) {
+	for _, servers := range []int{200, 1000, 3000, 11000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			list := grand(servers)
+			gone := list[servers/2]
+			gone.State = Terminated
+			for b.Loop() {
+				load, meets, changed, fewest := map[string]float64{}, map[string]float64{}, 0, 1<<30
+				for i := range grandDoors { // one by one: not all fit
+					set := crowd(grandDoors)
+					set.Rank = i
+					d := open(b, set, list...)
+					one, left := shares([]*Door{d}, 3)
+					fewest = min(fewest, left)
+					for name, v := range one {
+						load[name] += v
+						meets[name]++
+					}
+					d.Step(ms, []Event{List{Entries: []Backend{gone}}})
+					same := len(one) == len(d.subset)
+					for _, s := range d.subset {
+						same = same && one[s.name] > 0
+					}
+					if !same {
+						changed++
+					}
+				}
+				least, most := 1e9, 0.0
+				for _, n := range meets {
+					least, most = min(least, n), max(most, n)
+				}
+				if len(meets) < servers {
+					least = 0
+				}
+				b.ReportMetric(busiest(load, servers), "busiest/mean")
+				b.ReportMetric(least, "doors-least")
+				b.ReportMetric(most, "doors-most")
+				b.ReportMetric(float64(changed), "changed/departure")
+				b.ReportMetric(float64(fewest), "left-without-a-zone")
+			}
+		})
+	}
+}
+
 // BenchmarkDoor tells what one of 810 doors spends by the length of the list.
 func BenchmarkDoor(b *testing.B) {
 	for _, servers := range []int{14, 200, 1000, 3000, 11000} {
