Keep the tests of long lists from depending on the silence of 2.5 s

Observed: of 20 runs under the race detector on two cores, with other tests beside them, TestWholeListIsTaken failed once with the indented list: it never came to that, after 20 s. Its agent answers one watch only, so a pause of 2.5 s within the list ends that watch, and the next gets no answer. That this was the cause is a guess: the run kept no log of the watch. The three tests that take a long list over a socket now wait as long as the test itself.

Ran: 4 times under the race detector, passed; a run of 10 was cut off by its own time limit and counts for nothing.

--- a/internal/front/list_test.go
+++ b/internal/front/list_test.go
@@ -58,6 +58,7 @@
 	for name, form := range map[string]func(testing.TB, Members) string{"line": text, "indented": indented} {
 		t.Run(name, func(t *testing.T) {
 			f := idle(t)
+			f.discovery.silence = patient // nobody answers a second watch, should this one be slow
 			a := &agent{t, listen(t)}
 			f.discovery.follow(a.ln.Addr().String())
 			defer f.discovery.stop()
@@ -273,6 +274,7 @@
 // last one ended, and neither the rest of that list nor its end counts any more. One opened anew costs the changes only.
 func TestIndexMovesWithTheWholeList(t *testing.T) {
 	f := idle(t, freeAddr(t))
+	f.discovery.silence = patient
 	first, second := &agent{t, listen(t)}, &agent{t, listen(t)}
 	f.discovery.follow(first.ln.Addr().String())
 	watch, from := first.watched()
@@ -324,6 +326,7 @@
 	drains := m.Endpoints[300]
 	m.Endpoints[300].Status = "DRAINING"
 	a := &agent{t, listen(t)}
+	f.discovery.silence = patient
 	f.discovery.follow(a.ln.Addr().String())
 	defer f.discovery.stop()
 	watch, _ := a.watched()
