Ask again for a list that could not be had within 0.75 s, not within 8 s

Cause: list() doubled the pause after each failed call up to 8 s. A change counts as told 6 s after discovery had it and could be reached, whatever became of the calls before. Two calls that come to nothing take 2 s each, so 1 s is left for each pause.

Change: 250 ms, then 750 ms at most, half of it by chance, as all doors fail together. Cost while discovery is down: up to 2.7 calls a second of each door, 2,200 of 810 doors; pushed lists are not concerned. The test asked again after 1 s at the second failure before.

--- a/door.go
+++ b/door.go
@@ -102,6 +102,8 @@
 	rateOver    = 3.0                     // seconds over which the sends to a warm server are averaged
 	coldLeast   = 3.0                     // sends in a cold window that the doors together may make unasked ...
 	coldMargin  = 0.5                     // share of the cold budget that is used: work differs from mean work
+	listFirst   = 250 * time.Millisecond  // pause after a call for the list has failed, half of it by chance ...
+	listMost    = 750 * time.Millisecond  // ... and after more: a change counts as told after 6 s
 	forgetAfter = 60 * time.Second        // an idle customer is forgotten
 )
 
@@ -1153,8 +1155,9 @@
 	if ev.Scope == ListFailed {
 		if !d.listAsked {
 			d.listAsked = true
-			d.listWait = min(8*time.Second, max(500*time.Millisecond, 2*d.listWait))
-			d.act(SetTimer{d.now + d.listWait, 2})
+			d.listWait = min(listMost, max(listFirst, 2*d.listWait))
+			wait := d.listWait/2 + time.Duration(d.rng.Int64N(int64(d.listWait/2)+1)) // doors fail together
+			d.act(SetTimer{d.now + wait, 2})
 		}
 		return
 	}
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -335,3 +335,28 @@
 		t.Errorf("%d sends for one slot, %d left in the queue: %v", len(sends), s.queued, acts)
 	}
 }
+
+// A list that could not be had is asked for again so soon that two calls which come to nothing, each after 2 s at most,
+// and their pauses leave time for a third within the 6 s after which a change counts as told; also after a long outage.
+func TestFailedListIsAskedForAgainSoon(t *testing.T) {
+	const most = 750 * time.Millisecond
+	set := basic()
+	set.OnRequest = true
+	d := open(t, set, backends(2)...)
+	now := time.Second
+	for i := range 20 {
+		at := time.Duration(0)
+		for _, s := range only[SetTimer](d.Step(now, []Event{List{Scope: ListFailed}})) {
+			if s.Cookie == 2 {
+				at = s.At
+			}
+		}
+		if at == 0 || at > now+most {
+			t.Fatalf("after failure %d it is asked for again after %v", i+1, at-now)
+		}
+		now = at + 2*time.Second
+		if acts := d.Step(at, []Event{Timer{2}}); len(only[Watch](acts)) != 1 {
+			t.Fatalf("after failure %d it is not asked for: %v", i+1, acts)
+		}
+	}
+}
