Look at a socket's unread byte in one place

quiet and hungUp each had their own way to the descriptor and the same peek; both call peek now. No change of behaviour: what each says of a connection without a socket, of a closed one and of an error is as before.

--- a/internal/front/sock.go
+++ b/internal/front/sock.go
@@ -51,47 +51,45 @@
 // hungUp says whether the other side has ended the connection, also where what it sent before lies unread. It works
 // beside a goroutine that reads. Where the system does not tell, the connection counts as open.
 func hungUp(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
 	ended := false
-	err = rc.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	known, err := peek(nc, func(fd, n int, err error) {
 		switch {
 		case err == syscall.EAGAIN || err == syscall.EINTR:
 		case err != nil || n == 0:
 			ended = true
 		default: // the end, if there is one, stands behind these bytes
-			info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
+			info, err := syscall.GetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_INFO)
 			state := info & 0xff
 			ended = err == nil && (state == tcpClose || state == tcpCloseWait)
 		}
 	})
-	return ended || err != nil
+	return known && (ended || err != nil)
 }
 
 // quiet says whether the other side has neither sent anything nor ended the connection. It works beside a
 // goroutine that reads.
 func quiet(nc net.Conn) bool {
+	still := false
+	known, err := peek(nc, func(_, _ int, err error) {
+		still = err == syscall.EAGAIN || err == syscall.EINTR
+	})
+	return !known || err == nil && still
+}
+
+// peek looks at the first byte that lies unread in a socket, without waiting, and hands on how many there were and the
+// socket's error. It says whether the connection has a socket that can be looked at, and errs on one that is closed.
+func peek(nc net.Conn, seen func(fd, n int, err error)) (known bool, err error) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return true
+		return false, nil
 	}
 	rc, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return true, err
 	}
-	still := false
-	err = rc.Control(func(fd uintptr) {
+	return true, rc.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		still = err == syscall.EAGAIN || err == syscall.EINTR
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		seen(int(fd), n, err)
 	})
-	return err == nil && still
 }
