Reckon a server's own order once in topUp, and tell cold ones apart from watched ones

topUp hashed the best name so far again for each server that it looked at, on each change of a small list. unwatch also ended the warming up, which has nothing to do with it: warmUp does. The comment on subsetAt named a field that is none.

--- a/door.go
+++ b/door.go
@@ -628,9 +628,12 @@
 	d.extra = d.extra[:0]
 	for zone, short := d.shortOf(); short; zone, short = d.shortOf() {
 		var best *server
+		first := uint64(math.MaxUint64)
 		for _, s := range d.ring {
-			if s.listed && !s.inSubset && s.zone != zone && (best == nil || d.ownOrder(s) < d.ownOrder(best)) {
-				best = s
+			if s.listed && !s.inSubset && s.zone != zone {
+				if at := d.ownOrder(s); best == nil || at < first {
+					best, first = s, at
+				}
 			}
 		}
 		if best == nil { // there are none besides
@@ -1034,6 +1037,7 @@
 	}
 	d.beatAt = d.now
 	d.unwatch()
+	d.warmUp()
 	stuck := d.stuck
 	d.stuck = nil
 	for _, r := range stuck {
--- a/state.go
+++ b/state.go
@@ -41,7 +41,7 @@
 	fails, lost      int           // broken connections in a row; time-outs since heard
 	heard            time.Duration // last sign of life, or the moment it got work after having none
 	member           subset.Member[*server]
-	ringAt, subsetAt int     // places in Door.ring and Door.inSubset
+	ringAt, subsetAt int     // places in Door.ring and Door.subset
 	extra            bool    // in the subset by topUp
 	watched, lined   bool    // in Door.watched; in Door.lines
 	leaving, counted bool    // in Door.leaving; in Door.warm ...
@@ -492,6 +492,10 @@
 	}
 	clear(d.watched[len(kept):])
 	d.watched = kept
+}
+
+// warmUp counts as warm those whose time to warm up is over, the oldest first.
+func (d *Door) warmUp() {
 	for len(d.colds) > 0 && d.warmth(d.colds[0]) >= 1 {
 		d.colds = d.colds[1:]
 	}
