Let the module's Step come before the last resort of a request whose time is up

At fault: the closure of r.overdue in arrived, which answered within timers.run; and Left, reckoned in arrived and not by the clock of Step.

Change: the last resort is looked at after the Step; Left is told by the Step's clock.

--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -37,6 +37,7 @@
 	timers timers
 
 	requests  map[uint64]*request
+	overdue   []*request      // those whose time is up: answered after the Step if the module has not
 	open      map[string]bool // the clients' ids of requests without a final answer
 	lastID    uint64
 	clients   *clients
@@ -149,6 +150,7 @@
 		}
 		f.timers.run(f.now())
 		f.step()
+		f.answerOverdue()
 		if now := f.now(); finish > 0 && now >= finish {
 			if f.clients.drain() || now >= end {
 				f.log.Info("ended", "unanswered", len(f.requests))
@@ -183,18 +185,50 @@
 	r.ask.conn.answer(r.ask.slot, []byte("-ERR no answer in time\r\n"))
 }
 
+// answerOverdue answers the requests whose time is up and which the Step before has left without an answer.
+func (f *Front) answerOverdue() {
+	if len(f.overdue) == 0 {
+		return
+	}
+	for _, r := range f.overdue {
+		if !r.ended {
+			f.log.Error("the module left a request unanswered", "id", r.id)
+			f.abandon(r)
+		}
+	}
+	f.overdue = nil
+	f.step()
+}
+
 // step gives the Door what has happened and carries out what it wants, in order. An action may end at once and
 // so bring the next event.
 func (f *Front) step() {
 	for len(f.events) > 0 {
 		events := f.events
 		f.events = nil
-		for _, a := range f.door.Step(f.now(), events) {
+		now := f.now()
+		f.setTimeLeft(events, now)
+		for _, a := range f.door.Step(now, events) {
 			f.act(a)
 		}
 	}
 }
 
+// setTimeLeft tells new requests the time that is left by the clock of the Step that takes them: the loop may have
+// been busy since they arrived, and the Door's own deadline must not be later than the client's.
+func (f *Front) setTimeLeft(events []snowhall.Event, now time.Duration) {
+	for i, event := range events {
+		arrival, ok := event.(snowhall.Request)
+		if !ok {
+			continue
+		}
+		if r := f.requests[arrival.ID]; r != nil {
+			arrival.Left = max(0, r.due-now)
+			events[i] = arrival
+		}
+	}
+}
+
 func (f *Front) act(a snowhall.Action) {
 	switch a := a.(type) {
 	case snowhall.Send:
@@ -247,13 +281,11 @@
 	r := &request{id: f.lastID, ask: a, due: a.at + a.wait}
 	a.id = r.id
 	f.requests[r.id] = r
-	// The module answers in time by its own timers. Should it not, the client still hears back in time.
-	r.overdue = f.timers.add(r.due, func() {
-		f.log.Error("the module left a request unanswered", "id", r.id)
-		f.abandon(r)
-	})
+	// The module answers in time by its own timers. Should it not, the client still hears back in time. Where the loop
+	// is late, both timers run at once: the module has its Step first.
+	r.overdue = f.timers.add(r.due, func() { f.overdue = append(f.overdue, r) })
 	f.tell(snowhall.Request{ID: r.id, Class: a.class, Plan: a.plan, Customer: a.customer,
-		Left: max(0, r.due-f.now()), Units: a.units, Doors: a.spread, Retry: a.retry})
+		Units: a.units, Doors: a.spread, Retry: a.retry}) // Left: see setTimeLeft
 }
 
 // gone ends the request of a client that has left.
--- a/internal/front/loop_test.go
+++ b/internal/front/loop_test.go
@@ -45,6 +45,12 @@
 	f := idle(t, ln.Addr().String())
 	a := try(t, f)
 	f.timers.run(a.r.due)
+	if a.r.ended {
+		t.Error("it is answered before the module's own timer has had its Step")
+	}
+	for _, r := range f.overdue { // as answerOverdue does, without its Step
+		f.abandon(r)
+	}
 	wantOutcome(t, f, snowhall.ConnectFailed) // the loop has not heard of the connection
 	if !a.r.ended || len(f.requests) != 0 {
 		t.Error("the request goes on")
