Write all goroutines' stacks to the log when the loop stands still for 5 s

A door that hangs logs nothing, so what it waited for could only be inferred. A goroutine looks every 1.25 s whether the loop is still in the same pass; at the fourth such look one line with the stacks (256 KiB at most) goes to the log, and one more when the loop goes on. It ends nothing. Looks are counted, not time, so that a process that was stopped as a whole reports nothing. It costs two atomic additions a pass and 0.8 wake-ups a second.

--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -36,6 +36,8 @@
 	ready  atomic.Bool      // a backend in service has been known, so requests can be served
 	timers timers
 
+	watchdog watchdog
+
 	requests  map[uint64]*request
 	overdue   []*request      // those whose time is up: answered after the Step if the module has not
 	open      map[string]bool // the clients' ids of requests without a final answer
@@ -98,6 +100,7 @@
 	f.discovery.follow(f.discovery.addr)
 	defer func() { f.discovery.stop() }()
 	go f.clients.accept(ln)
+	go f.watchdog.run(f.done, watchdogEvery, f.log)
 	f.log.Info("serving", "listen", ln.Addr(), "backends", len(f.cfg.Known.Endpoints))
 	f.every(sweepEvery, func() {
 		f.backends.sweep()
@@ -132,9 +135,9 @@
 			wait = min(wait, 10*time.Millisecond)
 		}
 		alarm.Reset(wait)
+		var task func()
 		select {
-		case task := <-f.tasks:
-			task()
+		case task = <-f.tasks:
 		case <-alarm.C:
 		case <-term:
 			term = nil
@@ -145,6 +148,10 @@
 			f.timers.add(finish, func() { f.clients.close(ln) })
 			f.timers.add(give, f.giveUp)
 		}
+		f.watchdog.begin()
+		if task != nil {
+			task()
+		}
 		for range len(f.tasks) { // all that is there goes into one Step
 			(<-f.tasks)()
 		}
@@ -157,6 +164,7 @@
 				return
 			}
 		}
+		f.watchdog.end()
 	}
 }
 
--- /dev/null
+++ b/internal/front/watchdog_test.go
@@ -0,0 +1,39 @@
+package front
+
+import (
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A loop that stands still is reported once, with the place where it stands, and so is that it goes on; one that has
+// nothing to do is not.
+func TestWatchdogReportsALoopThatStandsStill(t *testing.T) {
+	var log lockedBuffer
+	w := start(t, nil)
+	dog := make(chan struct{})
+	defer close(dog)
+	go w.f.watchdog.run(dog, 100*time.Millisecond, slog.New(slog.NewTextHandler(&log, nil)))
+	says := func(want string) {
+		t.Helper()
+		for end := time.Now().Add(patient); !strings.Contains(log.String(), want); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("no %q in the log: %.2000s", want, log.String())
+			}
+		}
+	}
+	time.Sleep(600 * time.Millisecond) // many checks
+	if text := log.String(); strings.Contains(text, "stands still") {
+		t.Fatalf("reported with nothing to do: %.500s", text)
+	}
+	release := w.hold()
+	says("the loop stands still")
+	says("(*world).hold")
+	time.Sleep(600 * time.Millisecond)
+	if n := strings.Count(log.String(), "the loop stands still"); n != 1 {
+		t.Errorf("reported %d times", n)
+	}
+	release()
+	says("the loop goes on")
+}
