Keep the loop from waiting for whoever reads the log

Found in the review of the loop's waits: slog writes to standard error within the loop, and a pipe that nobody reads takes 64 KiB and then holds the write for ever, and the loop with it.

Lines now go through a buffer of 1 MiB and a goroutine; what does not fit is dropped and counted.

--- a/cmd/gapgap/main.go
+++ b/cmd/gapgap/main.go
@@ -11,14 +11,19 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"snowhall/internal/front"
+	"snowhall/internal/logsink"
 )
 
 // gcPercent is how much garbage may gather for each live byte. The heap has few MB, so collections would else come
 // often; the memory limit makes them come sooner where that is needed.
 const gcPercent = 400
 
+// logWithin is how long the end waits for whoever reads the log.
+const logWithin = 100 * time.Millisecond
+
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "gapgap:", err)
@@ -43,7 +48,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("name", cfg.Name)
+	sink := logsink.New(os.Stderr)
+	defer sink.Close(logWithin)
+	log := slog.New(slog.NewTextHandler(sink, nil)).With("name", cfg.Name)
 	f, err := front.New(cfg, log)
 	if err != nil {
 		return err
