Let 1,024 real doors run in the mixed runs, and 4,096 connections come to a backend

All bounds and buffers of the module, the network code, the settings, the stand-ins and the mixed runs were gone through for a cap on doors or servers under 1,024. Found and changed: mostReal of internal/mixed, 32 real doors, now 1,024 (a bound on processes, as many as a list may name); backendConns of the stand-in, 512 connections to a backend, now 4,096, so that each of 1,024 doors can hold some.

Found and left, as they cap no list: mostEntries 32,768 entries of a list; mostItems of the settings 4,096 classes or plans; doors by the settings, up to 1e9; lookInside 32 and lookOutside 256 (servers looked at for one request, of a list of any length); together, partSize, sweepSize (parts in which a list of any length is taken); tasks 1,024, the counter's 64 blocks and 1,024 calls, mostAsks 32 (queues that push back or fail at once); mostPipelined 256 commands of one connection, mostItems 64 of one RESP array, client and backend connections by the limit of descriptors; agentConns 16 and counterConns 32 of one door's own stand-ins; mostChanges 4,096 of the catalog (else the whole list).

TestServesAmongManyDoorsAndBackends starts a door among 1,024 with 1,200 backends.

--- /dev/null
+++ b/internal/front/many_test.go
@@ -0,0 +1,27 @@
+package front
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// A door among 1,024 with a list of 1,200 backends serves, also requests of a customer whose set is all doors.
+func TestServesAmongManyDoorsAndBackends(t *testing.T) {
+	const doors, backends = 1024, 1200
+	ln := listen(t)
+	var addrs []string
+	for range backends {
+		addrs = append(addrs, ln.Addr().String()) // one listener stands in for all
+	}
+	w := start(t, addrs, func(c *Config, t *testing.T) { c.Settings.Doors, c.Settings.Rank = doors, doors-1 })
+	got := standIn(t, ln)
+	c := w.dial()
+	for i := range 20 {
+		id := fmt.Sprint("request", i)
+		c.command("Q.ASK", customer, id, strings.Replace(list, "spread=1,first=0", fmt.Sprintf("spread=%d,first=%d", doors, doors-1), 1))
+		next(t, got).value()
+		c.wants("value")
+	}
+	w.until(func() bool { return len(w.f.backends.all) == backends })
+}
--- a/internal/mixed/world.go
+++ b/internal/mixed/world.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	mostReal      = 32
+	mostReal      = 1024             // processes that one machine may have to bear
 	mostAlone     = 1024             // backends with a listener of their own
 	sharing       = 16               // listeners that further ones share
 	mostConns     = 256              // of the clients to one door
--- a/internal/standin/backends.go
+++ b/internal/standin/backends.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	backendConns = 512 // connections that one listener holds
-	pipelined    = 8   // commands of one connection that are begun before the first is answered
-	longTail     = 8   // no request takes more than this many times the mean
+	backendConns = 4096 // connections that one listener holds: some of each of 1,024 doors
+	pipelined    = 8    // commands of one connection that are begun before the first is answered
+	longTail     = 8    // no request takes more than this many times the mean
 )
 
 // Model is how the backends behave, without sockets: each serves so many requests at once and lets a few wait. It is
