Feed the audit from the front door, behind a section audit of the configuration

Off by default: without the section no machine is made, and every hook is a nil check. On, the loop tells it of versions once the Door's Step has taken them, requests, attempts, configurations, calls and of having stood still over 6 s, and carries out its calls, reopened watches, whole lists and records. The module gets an event, Suspend: it refuses what waits and what comes, and sends nothing on; PING says -LOADING meanwhile. Counter calls now name who hears their end.

--- a/api.go
+++ b/api.go
@@ -184,6 +184,10 @@
 	Status  Status
 }
 
+// Suspend says that nothing more may be sent on, or that it may again. Requests that come meanwhile, and those with no
+// attempt out, are refused at once; attempts that are out go on.
+type Suspend struct{ On bool }
+
 // Message is a message from another door. The module passes it over.
 type Message struct{ From int }
 
@@ -195,6 +199,7 @@
 func (Timer) event()     {}
 func (List) event()      {}
 func (Probed) event()    {}
+func (Suspend) event()   {}
 func (Message) event()   {}
 
 // Action is something the caller must do: one of the types below that name it.
--- a/cmd/gapgap/main.go
+++ b/cmd/gapgap/main.go
@@ -83,7 +83,7 @@
 			log.Error("the new configuration is not used", "error", err)
 			continue
 		}
-		f.Reload(cfg.Discovery, cfg.Counter)
+		f.Reload(cfg.Discovery, cfg.Counter, cfg.Audit.RevisionText())
 	}
 }
 
--- a/door.go
+++ b/door.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"math/bits"
 	"slices"
@@ -150,7 +151,7 @@
 	}
 	r.c = d.customer(ev)
 	d.reqs[r.id] = r
-	if r.tau.Seconds() <= d.latency(r, nil)/2 {
+	if d.suspended || r.tau.Seconds() <= d.latency(r, nil)/2 {
 		d.refuse(r, 0)
 		return
 	}
@@ -169,6 +170,16 @@
 	d.serve(r.c)
 }
 
+// suspend begins or ends a time in which nothing is sent on. What waits is refused at once, in its order.
+func (d *Door) suspend(on bool) {
+	d.suspended = on
+	for _, id := range slices.Sorted(maps.Keys(d.reqs)) {
+		if r := d.reqs[id]; on && r != nil && r.out == 0 {
+			d.refuse(r, 0)
+		}
+	}
+}
+
 // serve decides for a customer's requests in the order they came, until one has to wait: for the counter's
 // answer, for one of the customer's attempts to end, or for the ceiling's share to fill.
 func (d *Door) serve(c *customer) {
@@ -826,7 +837,8 @@
 	case !s.listed: // drain: nothing new from the moment it is told
 		d.place(r)
 		return
-	case r.out > 0 || len(r.attempts) >= d.set.MaxAttempts || !d.mayRepeat(r, s) || d.now >= r.at+r.tau:
+	case d.suspended || r.out > 0 || len(r.attempts) >= d.set.MaxAttempts || !d.mayRepeat(r, s),
+		d.now >= r.at+r.tau:
 		d.refuse(r, 0)
 		return
 	}
--- a/door_test.go
+++ b/door_test.go
@@ -503,6 +503,7 @@
 	tries, ran, dead, total := map[uint64]int{}, map[uint64]string{}, map[string]bool{}, map[uint64]float64{}
 	live := map[uint64]int{}
 	now, id := time.Duration(0), uint64(0)
+	suspended := false
 	for step := range 600 {
 		now += time.Duration(rng.IntN(12)) * ms
 		var evs []Event
@@ -556,6 +557,10 @@
 			dead[b.Name] = b.State != InService
 			evs = append([]Event{List{Scope: Delta, Entries: []Backend{b}}}, evs...)
 		}
+		if rng.IntN(map[bool]int{false: 100, true: 10}[suspended]) == 0 {
+			suspended = !suspended
+			evs = append([]Event{Suspend{On: suspended}}, evs...)
+		}
 		keep := timers[:0]
 		for _, x := range timers {
 			if x.At <= now {
@@ -573,6 +578,9 @@
 				if _, ok := due[a.ID]; !ok {
 					t.Fatalf("seed %d: sent after the end: %v", seed, a)
 				}
+				if suspended {
+					t.Fatalf("seed %d: sent while suspended: %v", seed, a)
+				}
 				if dead[a.Backend] {
 					t.Fatalf("seed %d: sent to a backend that is draining: %v", seed, a)
 				}
@@ -736,3 +744,27 @@
 		}
 	}
 }
+
+// While it is suspended a door refuses at once what waits and what comes, and lets go on what is out.
+func TestSuspend(t *testing.T) {
+	d := open(t, basic(), backends(1)...)
+	out := only[Send](d.Step(ms, []Event{ask(1, 0, 3)}))
+	if len(out) != 1 {
+		t.Fatal("nothing is sent")
+	}
+	id, queued := uint64(1), 0
+	for ; queued == 0 && id < 100; id++ { // up to one that waits for a slot
+		acts := d.Step(ms, []Event{ask(id+1, 0, 3)})
+		queued = 1 - len(only[Send](acts)) - len(only[Refuse](acts))
+	}
+	if refused := only[Refuse](d.Step(2*ms, []Event{Suspend{On: true}})); len(refused) != 1 || refused[0].ID != id {
+		t.Errorf("refused %v of what waits, want %d", refused, id)
+	}
+	acts := d.Step(3*ms, []Event{ask(1000, 0, 2), served(out[0], 0, ms)})
+	if len(only[Send](acts)) > 0 || len(only[Refuse](acts)) != 1 {
+		t.Errorf("while suspended: %v", acts)
+	}
+	if acts = d.Step(4*ms, []Event{Suspend{}, ask(1001, 0, 2)}); len(only[Send](acts)) != 1 {
+		t.Errorf("after it: %v", acts)
+	}
+}
--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -135,6 +135,13 @@
 	}
 }
 
+// dropAllDialled takes back all that waits for a connection.
+func (bs *backends) dropAllDialled() {
+	for _, b := range bs.all {
+		bs.dropDialled(b)
+	}
+}
+
 func (bs *backends) forget(b *backend) {
 	if !b.listed && len(b.conns) == 0 {
 		delete(bs.all, b.name)
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -178,8 +178,11 @@
 	name := strings.ToUpper(string(args[0]))
 	switch name {
 	case "PING":
-		if !c.cs.f.ready.Load() {
+		switch {
+		case !c.cs.f.ready.Load():
 			return c.reply("-LOADING no backend is known yet\r\n")
+		case c.cs.f.suspended.Load():
+			return c.reply("-LOADING out of service\r\n")
 		}
 		return c.reply("+PONG\r\n")
 	case "Q.ASK", "Q.DO":
--- a/internal/front/closing_test.go
+++ b/internal/front/closing_test.go
@@ -178,7 +178,7 @@
 	b := accept(t, ln)
 	b.message()
 	w.stop()
-	w.f.Reload(freeAddr(t), w.f.cfg.Counter)
+	w.f.Reload(freeAddr(t), w.f.cfg.Counter, "")
 	w.stop()
 	if m := c.message(); len(m) != 1 || m[0][0] != '-' {
 		t.Errorf("got %q", m)
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -27,6 +27,7 @@
 	Settings  snowhall.Settings
 	Transport wire.Transport
 	Known     Members // the list of backends as last had, maybe old
+	Audit     *Audit  // nil: off
 
 	watchSilence, settleFor time.Duration // 0: the usual
 }
@@ -40,6 +41,7 @@
 			Sockets  int
 		}
 		Known    Members
+		Audit    json.RawMessage
 		Settings map[string]any
 	}
 	dec := json.NewDecoder(r)
@@ -61,6 +63,9 @@
 	if c.Transport, err = wire.ReadTransport(flat); err != nil {
 		return nil, err
 	}
+	if c.Audit, err = readAudit(raw.Audit, flat); err != nil {
+		return nil, err
+	}
 	return c, nil
 }
 
@@ -79,6 +84,9 @@
 	if c.MemoryMB < 0 || c.Sockets < 0 {
 		return errors.New("limits: memory_mb or sockets is negative")
 	}
+	if err := c.checkAudit(); err != nil {
+		return err
+	}
 	if c.Transport.DialTimeout <= 0 {
 		return errors.New("settings: limits.dial-timeout-us is not above 0")
 	}
--- a/internal/front/counter.go
+++ b/internal/front/counter.go
@@ -47,11 +47,13 @@
 // call is one add whose answer is still to come.
 type call struct {
 	name    uint64
+	done    func(snowhall.Status, float64) // told by the loop, in the order of the calls of one name
 	line    *line
 	text    []byte
 	written bool // it may have reached the counter
 	ended   bool
-	result  snowhall.Counted // once it has ended
+	status  snowhall.Status // once it has ended ...
+	total   float64
 	timeout *timer
 }
 
@@ -92,17 +94,25 @@
 	}
 }
 
+// count makes a call for the Door.
+func (c *counter) count(a snowhall.Count) {
+	c.add(a.Name, a.Amount, a.Keep, func(status snowhall.Status, total float64) {
+		c.f.tell(snowhall.Counted{Name: a.Name, Status: status, Total: total})
+		c.f.audit.quotaCallEnded(status)
+	})
+}
+
 // add makes a call.
-func (c *counter) add(a snowhall.Count) {
-	l := c.lines[a.Name%counterConns]
-	k := &call{name: a.Name, line: l}
+func (c *counter) add(name uint64, amount float64, keep time.Duration, done func(snowhall.Status, float64)) {
+	l := c.lines[name%counterConns]
+	k := &call{name: name, line: l, done: done}
 	c.open[k.name] = append(c.open[k.name], k)
 	if !c.f.cfg.Settings.Counter || len(l.calls) >= counterOwed {
 		l.end(k, snowhall.ConnectFailed, 0)
 		return
 	}
-	k.text = fmt.Appendf(nil, "add %d %s %d\r\n", a.Name, strconv.FormatFloat(a.Amount, 'f', -1, 64),
-		max(1, a.Keep.Milliseconds()))
+	k.text = fmt.Appendf(nil, "add %d %s %d\r\n", name, strconv.FormatFloat(amount, 'f', -1, 64),
+		max(1, keep.Milliseconds()))
 	now := c.f.now()
 	if len(l.calls) == 0 {
 		l.owed = now
@@ -136,13 +146,14 @@
 		return
 	}
 	k.ended = true
-	k.result = snowhall.Counted{Name: k.name, Status: status, Total: total}
+	k.status, k.total = status, total
 	l.f.timers.stop(k.timeout)
 	open := l.f.counter.open
 	all := open[k.name]
 	for len(all) > 0 && all[0].ended {
-		l.f.tell(all[0].result)
+		first := all[0]
 		all = all[1:]
+		first.done(first.status, first.total)
 	}
 	if open[k.name] = all; len(all) == 0 {
 		delete(open, k.name)
--- a/internal/front/crowd_test.go
+++ b/internal/front/crowd_test.go
@@ -68,7 +68,7 @@
 			if _, err := fmt.Fscanln(in, &discovery, &counter); err != nil {
 				return
 			}
-			f.Reload(discovery, counter)
+			f.Reload(discovery, counter, "")
 		}
 	}()
 	f.Run(ctx, ln)
--- a/internal/front/discovery.go
+++ b/internal/front/discovery.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"snowhall"
+	"snowhall/internal/audit"
 )
 
 const (
@@ -115,7 +116,7 @@
 	defer resp.Body.Close()
 	r := d.reader(resp.Body, dead)
 	r.counts = func() bool { return epoch == d.epoch } // else the next watch brings it, from the index that the loop had
-	r.ended = func(index int64) { d.index = index }
+	r.ended = d.adopt
 	for {
 		m, err := r.next()
 		if err != nil {
@@ -141,22 +142,53 @@
 	return resp, nil
 }
 
-// ask gets the whole list once, for a Door that asks.
-func (d *discovery) ask() {
+// adopt notes that a list or change from discovery has been taken to its end.
+func (d *discovery) adopt(m Members) {
+	d.index = m.Index
+	source := audit.FromChange
+	if m.Snapshot {
+		source = audit.FromWhole
+	}
+	d.f.audit.adopted(m.Index, source)
+}
+
+// askForDoor gets the whole list once, for a Door that asks. It moves no index: what the watch is to bring, the watch
+// brings.
+func (d *discovery) askForDoor() {
+	d.ask(func(_ Members, err error) {
+		if err != nil {
+			d.f.tell(snowhall.List{Scope: snowhall.ListFailed})
+		}
+	})
+}
+
+// askAndFollow gets the whole list and watches on from there. The loop calls ended.
+func (d *discovery) askAndFollow(ended func(ok bool)) {
+	d.ask(func(m Members, err error) {
+		if err == nil && m.Index != d.index {
+			d.adopt(m)
+			d.follow(d.addr)
+		}
+		ended(err == nil)
+	})
+}
+
+// ask gets the whole list once. The loop calls ended when it has been taken, or has failed.
+func (d *discovery) ask(ended func(Members, error)) {
 	t, addr, epoch := d.begin(), d.addr, d.epoch
 	go func() {
-		if err := d.fetch(addr, t, epoch); err != nil {
+		if err := d.fetch(addr, t, epoch, ended); err != nil {
 			d.f.log.Debug("no list", "error", err)
 			d.f.post(func() {
 				d.leave(t)
-				d.f.tell(snowhall.List{Scope: snowhall.ListFailed})
+				ended(Members{}, err)
 			})
 		}
 	}()
 }
 
-// fetch reads the whole list. It moves no index: what the watch is to bring, the watch brings.
-func (d *discovery) fetch(addr string, t *taking, epoch int) error {
+// fetch reads the whole list.
+func (d *discovery) fetch(addr string, t *taking, epoch int, ended func(Members, error)) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	silence := min(d.silence, askSilence)
@@ -170,8 +202,13 @@
 	r := d.reader(resp.Body, dead)
 	r.in.silence = silence
 	r.counts, r.list = func() bool { return epoch == d.epoch }, t
-	m, err := r.next()
-	if err == nil && !m.Snapshot {
+	whole := false
+	r.ended = func(m Members) {
+		if whole = m.Snapshot; whole {
+			ended(m, nil)
+		}
+	}
+	if _, err = r.next(); err == nil && !whole {
 		err = errors.New("not a whole list")
 	}
 	return err
--- a/internal/front/discovery_test.go
+++ b/internal/front/discovery_test.go
@@ -73,7 +73,7 @@
 	if from := <-w.watches; from != "5" {
 		t.Errorf("the watch goes on at %s", from)
 	}
-	w.f.Reload(strings.TrimPrefix(agent.URL, "http://"), w.f.cfg.Counter)
+	w.f.Reload(strings.TrimPrefix(agent.URL, "http://"), w.f.cfg.Counter, "")
 	if from := <-next.watches; from != "5" {
 		t.Errorf("the watch begins at %s", from)
 	}
--- a/internal/front/list.go
+++ b/internal/front/list.go
@@ -69,14 +69,14 @@
 	d      *discovery
 	in     *watchReader
 	dec    *json.Decoder
-	counts func() bool       // asked by the loop: is what is read still wanted?
-	ended  func(index int64) // told by the loop: a list or change was wholly taken
-	list   *taking           // nil: begun with the first part
+	counts func() bool   // asked by the loop: is what is read still wanted?
+	ended  func(Members) // told by the loop: a list or change was wholly taken; only its index and kind are given
+	list   *taking       // nil: begun with the first part
 }
 
 func (d *discovery) reader(from io.Reader, dead *time.Timer) *listReader {
 	in := &watchReader{from: from, silence: d.silence, left: mostEntry, blank: true, dead: dead}
-	return &listReader{d: d, in: in, dec: json.NewDecoder(in), counts: func() bool { return true }, ended: func(int64) {}}
+	return &listReader{d: d, in: in, dec: json.NewDecoder(in), counts: func() bool { return true }, ended: func(Members) {}}
 }
 
 // next reads one list or change to its end and hands it on. One that is cut off retires nobody and moves no index,
@@ -195,7 +195,7 @@
 				return
 			}
 			r.d.f.tell(snowhall.List{Scope: snowhall.Delta, Entries: news}) // though it be empty: the list has come
-			r.ended(m.Index)
+			r.ended(m)
 			r.d.leave(r.list)
 			r.d.f.reachable()
 		})
--- a/internal/front/list_test.go
+++ b/internal/front/list_test.go
@@ -82,7 +82,7 @@
 	dead := time.AfterFunc(patient, func() {})
 	defer dead.Stop()
 	r := d.reader(strings.NewReader(text), dead)
-	r.ended = func(index int64) { d.index = index }
+	r.ended = d.adopt
 	if counts != nil {
 		r.counts = counts
 	}
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -46,6 +46,8 @@
 	backends  *backends
 	counter   *counter
 	discovery *discovery
+	audit     *auditor    // nil: off
+	suspended atomic.Bool // out of service, as the audit wants it
 }
 
 // request is a client's request until its final answer is given and its attempts have ended.
@@ -71,6 +73,9 @@
 	f.counter = newCounter(f)
 	f.discovery = newDiscovery(f)
 	f.clients = newClients(f)
+	if f.audit, err = newAuditor(f); err != nil {
+		return nil, err
+	}
 	return f, nil
 }
 
@@ -96,6 +101,7 @@
 	defer close(f.done)
 	defer ln.Close()
 	f.take(f.cfg.Known, snowhall.Cached)
+	f.audit.start()
 	f.step() // from here on it is able to serve
 	f.discovery.follow(f.discovery.addr)
 	defer func() { f.discovery.stop() }()
@@ -110,8 +116,9 @@
 	f.loop(ctx, ln)
 }
 
-// Reload moves to other addresses of discovery and the counter, from any goroutine.
-func (f *Front) Reload(discovery, counter string) {
+// Reload moves to other addresses of discovery and the counter, from any goroutine. The revision is that of the
+// configuration; see Audit.
+func (f *Front) Reload(discovery, counter, revision string) {
 	f.post(func() {
 		if discovery != f.discovery.addr {
 			f.discovery.follow(discovery)
@@ -120,6 +127,7 @@
 			f.counter.move(counter)
 		}
 		f.log.Info("configuration read again", "discovery", discovery, "counter", counter)
+		f.audit.configured(discovery, counter, revision)
 	})
 }
 
@@ -149,6 +157,7 @@
 			f.timers.add(give, f.giveUp)
 		}
 		f.watchdog.begin()
+		f.audit.beginPass()
 		if task != nil {
 			task()
 		}
@@ -158,6 +167,7 @@
 		f.timers.run(f.now())
 		f.step()
 		f.answerOverdue()
+		f.audit.endPass()
 		if now := f.now(); finish > 0 && now >= finish {
 			if f.clients.drain() || now >= end {
 				f.log.Info("ended", "unanswered", len(f.requests))
@@ -215,16 +225,17 @@
 		events := f.events
 		f.events = nil
 		now := f.now()
-		f.setTimeLeft(events, now)
+		f.arrive(events, now)
 		for _, a := range f.door.Step(now, events) {
 			f.act(a)
 		}
+		f.audit.inForce()
 	}
 }
 
-// setTimeLeft tells new requests the time that is left by the clock of the Step that takes them: the loop may have
+// arrive tells new requests the time that is left by the clock of the Step that takes them: the loop may have
 // been busy since they arrived, and the Door's own deadline must not be later than the client's.
-func (f *Front) setTimeLeft(events []snowhall.Event, now time.Duration) {
+func (f *Front) arrive(events []snowhall.Event, now time.Duration) {
 	for i, event := range events {
 		arrival, ok := event.(snowhall.Request)
 		if !ok {
@@ -233,6 +244,7 @@
 		if r := f.requests[arrival.ID]; r != nil {
 			arrival.Left = max(0, r.due-now)
 			events[i] = arrival
+			f.audit.decided(r)
 		}
 	}
 }
@@ -254,11 +266,11 @@
 	case snowhall.Probe:
 		f.backends.probe(a.Backend)
 	case snowhall.Count:
-		f.counter.add(a)
+		f.counter.count(a)
 	case snowhall.SetTimer:
 		f.timers.add(a.At, func() { f.tell(snowhall.Timer{Cookie: a.Cookie}) })
 	case snowhall.Watch, snowhall.Fetch:
-		f.discovery.ask()
+		f.discovery.askForDoor()
 	case snowhall.Log:
 		f.log.Info(a.Text)
 	}
@@ -293,7 +305,7 @@
 	// is late, both timers run at once: the module has its Step first.
 	r.overdue = f.timers.add(r.due, func() { f.overdue = append(f.overdue, r) })
 	f.tell(snowhall.Request{ID: r.id, Class: a.class, Plan: a.plan, Customer: a.customer,
-		Units: a.units, Doors: a.spread, Retry: a.retry}) // Left: see setTimeLeft
+		Units: a.units, Doors: a.spread, Retry: a.retry}) // Left: see arrive
 }
 
 // gone ends the request of a client that has left.
@@ -339,10 +351,11 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.open++
-	if r.ended || a.until <= now || r.open > 1 && !f.cfg.Settings.SecondCopies {
+	if r.ended || a.until <= now || r.open > 1 && !f.cfg.Settings.SecondCopies || f.audit.stoodStill(now) {
 		f.ended(a, snowhall.Moot, 0, 0)
 		return
 	}
+	f.audit.attempted()
 	f.backends.send(a)
 }
 
--- a/state.go
+++ b/state.go
@@ -139,6 +139,7 @@
 	lastAt     time.Duration   // the Step before
 	mostLeft   []time.Duration // by class, the most time that a client gave
 	running    bool
+	suspended  bool
 	acts       []Action
 	servers    map[string]*server
 	ring       []*server
@@ -331,6 +332,8 @@
 			if r := d.reqs[ev.ID]; r != nil {
 				d.end(r)
 			}
+		case Suspend:
+			d.suspend(ev.On)
 		case FirstByte:
 			if r := d.reqs[ev.ID]; r != nil {
 				r.stream = true
