--- a/internal/audit/round.go
+++ b/internal/audit/round.go
@@ -120,8 +120,13 @@
 		})
 }
 
-// compare looks at the count of a proposal that this door is behind.
+// compare looks at the count of a proposal that this door is behind. One that is known to be behind needs its calls for a
+// slot.
 func (m *Machine) compare(window, proposal int64) bool {
+	if m.straggler.stage == wantsOut && !isConfig(window) {
+		m.round.level = 0
+		return true
+	}
 	return m.count(m.countName(window, proposal), 0, keepWindows*m.set.window(), func(status Status, total float64) {
 		if status != Added || !m.isBehind(window, proposal) {
 			return
--- a/internal/mixed/process.go
+++ b/internal/mixed/process.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -46,11 +47,15 @@
 	done    chan struct{} // closed once it and its group have ended
 }
 
-// startProcess starts a command by the shell, from a folder. It is killed if this process dies.
-func startProcess(root, command string, env []string) (*process, error) {
+// startProcess starts a command by the shell, from a folder. It is killed if this process dies. The log goes to also as
+// well, if that is not nil.
+func startProcess(root, command string, env []string, also io.Writer) (*process, error) {
 	p := &process{cmd: exec.Command("/bin/sh", "-c", command), done: make(chan struct{})}
 	p.cmd.Dir, p.cmd.Env = root, env
 	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
+	if also != nil {
+		p.cmd.Stderr = io.MultiWriter(&p.log, also)
+	}
 	p.cmd.WaitDelay = time.Second
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	p.started = time.Now()
--- a/internal/mixed/settings.go
+++ b/internal/mixed/settings.go
@@ -132,6 +132,7 @@
 	Limits    doorLimits      `json:"limits"`
 	Counter   string          `json:"counter"`
 	Known     json.RawMessage `json:"known"`
+	Audit     json.RawMessage `json:"audit,omitempty"`
 	Settings  map[string]any  `json:"settings"`
 }
 
--- a/internal/standin/catalog.go
+++ b/internal/standin/catalog.go
@@ -76,6 +76,15 @@
 	return c.index
 }
 
+// StartAnew gives the same list under index 1, as a discovery that has lost its versions.
+func (c *Catalog) StartAnew() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.index, c.changes, c.whole = 1, nil, nil
+	close(c.wake)
+	c.wake = make(chan struct{})
+}
+
 // Whole returns the list without deleted backends.
 func (c *Catalog) Whole() Members {
 	c.mu.Lock()
--- a/internal/standin/counter.go
+++ b/internal/standin/counter.go
@@ -51,6 +51,13 @@
 	n.closed = yes
 }
 
+// Empty forgets all numbers, as a counter that was restarted.
+func (n *Numbers) Empty() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.all)
+}
+
 // Calls returns how many calls came so far, and how many of them were turned away.
 func (n *Numbers) Calls() (all, turnedAway int64) {
 	n.mu.Lock()
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -238,3 +240,79 @@
 		t.Errorf("sums of door 1 %+v", s)
 	}
 }
+
+// A link passes both directions on, holds one and lets it go, loses one, delays one, and resets.
+func TestLink(t *testing.T) {
+	echo, err := listen("127.0.0.1:0", 8, &Meter{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer echo.Close()
+	echo.serve(func(nc net.Conn) { io.Copy(nc, nc) })
+	link, err := StartLink("127.0.0.1:0", echo.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	dial := func() net.Conn {
+		nc, err := net.Dial("tcp", link.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		return nc
+	}
+	says := func(nc net.Conn, text string) { io.WriteString(nc, text) }
+	hears := func(nc net.Conn, want string, within time.Duration) bool {
+		nc.SetReadDeadline(time.Now().Add(within))
+		b := make([]byte, len(want))
+		_, err := io.ReadFull(nc, b)
+		return err == nil && string(b) == want
+	}
+	const long, short = 20 * time.Second, 50 * time.Millisecond
+	nc := dial()
+	if says(nc, "one"); !hears(nc, "one", long) {
+		t.Error("it does not pass on")
+	}
+	link.Set(ToClient, Held)
+	if says(nc, "two"); hears(nc, "two", short) {
+		t.Error("what is held comes")
+	}
+	link.Set(ToClient, Passes)
+	if !hears(nc, "two", long) {
+		t.Error("what was held does not come")
+	}
+	link.Set(ToServer, Lost)
+	if says(nc, "three"); hears(nc, "three", short) {
+		t.Error("what is lost comes")
+	}
+	link.Set(ToServer, Passes)
+	link.Delay(ToServer, short)
+	begun := time.Now()
+	if says(nc, "four"); !hears(nc, "four", long) || time.Since(begun) < short {
+		t.Errorf("what is delayed came after %v", time.Since(begun))
+	}
+	link.Reset()
+	nc.SetReadDeadline(time.Now().Add(long))
+	if _, err := nc.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, io.EOF) {
+		t.Errorf("after a reset: %v", err)
+	}
+	link.Delay(ToServer, 0)
+	if nc = dial(); true {
+		if says(nc, "five"); !hears(nc, "five", long) {
+			t.Error("no new connection passes")
+		}
+	}
+}
+
+// A catalog that starts anew has a lower index, and a watch from the higher one gets the whole list.
+func TestCatalogStartsAnew(t *testing.T) {
+	c := NewCatalog([]Member{{Name: "a", Status: Serving}, {Name: "b", Status: Serving}})
+	index := c.Apply(Member{Name: "a", Status: Draining})
+	_, wake := c.Since(index)
+	c.StartAnew()
+	<-wake
+	if m, _ := c.Since(index); !m.Snapshot || m.Index >= index || len(m.Endpoints) != 2 {
+		t.Errorf("after %d the watch gets %+v", index, m)
+	}
+}
