Spread the audit's calls over its windows, and measure it with up to 810 doors (scalerun audit)

Measured with audits alone in virtual time: doors that all begin at once, or all compare at the end of a window, made up to 271 calls in a second of 300 doors, 33% of the counter's 830. A door now begins two windows after its start, compares 0.85 of a window after it has read, and a window has 3.2 calls of room.

--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -48,6 +48,7 @@
 var (
 	sweepBackends = []int{14, 200, 1000, 3000, 11000}
 	sweepDoors    = []int{3, 30, 300, 810}
+	auditDoors    = []int{5, 30, 300, 810}
 	coldSizes     = []scale.Size{{Doors: 3, Backends: 14}, {Doors: 30, Backends: 14}, {Doors: 300, Backends: 200},
 		{Doors: 810, Backends: 200}}
 	spreadSizes = []scale.Size{{Doors: 3, Backends: 14}, {Doors: 30, Backends: 14}, {Doors: 30, Backends: 200},
@@ -101,6 +102,7 @@
 	spread := run("spread", "Count the connections and the load of each backend, and what one change moves", s.spread)
 	zone := run("zone", "Take a seventh or a third of the backends away", s.zone)
 	counter := run("counter", "Count the calls to the counter", s.counter)
+	audits := run("audit", "Time how long a door that is behind goes unnoticed, and count the audit's calls", s.audit)
 	all := run("all", "All of these", s.all)
 	root.RunE = all.RunE
 	for _, c := range []*cobra.Command{root, sweep, all} {
@@ -122,7 +124,7 @@
 	for _, c := range []*cobra.Command{root, cold, spread, zone, all} {
 		c.Flags().BoolVar(&s.wholeFleet, "whole-fleet", false, "play all 810 doors over 11,000 backends too, not a few of them")
 	}
-	root.AddCommand(all, sweep, cold, spread, zone, counter, s.mixedCommand(run))
+	root.AddCommand(all, sweep, cold, spread, zone, counter, audits, s.mixedCommand(run))
 	return root
 }
 
@@ -266,6 +268,17 @@
 	return nil
 }
 
+func (s *settings) audit(ctx context.Context, rep *scale.Report) error {
+	for _, doors := range auditDoors {
+		for _, changes := range []scale.Changes{scale.OneChange, scale.ManyChanges} {
+			if err := scale.Audit(ctx, s.Options, rep, doors, changes); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 func (s *settings) counter(ctx context.Context, rep *scale.Report) error {
 	if s.sampleDoors < 1 || s.counterBackends < 1 || s.customers < 10 {
 		return errors.New("counter-doors or counter-backends under 1, or customers under 10")
@@ -315,7 +328,7 @@
 	for _, m := range []struct {
 		share float64 // of the time left
 		f     func(context.Context, *scale.Report) error
-	}{{0.55, s.sweep}, {0.3, s.counter}, {0.3, s.cold}, {0.45, s.zone}, {0.97, s.spread}} {
+	}{{0.55, s.sweep}, {0.3, s.counter}, {0.1, s.audit}, {0.3, s.cold}, {0.45, s.zone}, {0.97, s.spread}} {
 		if err := part(ctx, m.share, func(ctx context.Context) error { return m.f(ctx, rep) }); err != nil {
 			return err
 		}
--- a/internal/audit/machine.go
+++ b/internal/audit/machine.go
@@ -25,6 +25,7 @@
 	known    bool            // there is one
 
 	round     round
+	ahead     *comparison // a proposal that this door is behind; nil: none
 	straggler straggler
 	lease     lease
 	wake      *wakeCheck // nil: none is under way
@@ -59,7 +60,9 @@
 func (m *Machine) Step(now time.Duration, events []Event) []Action {
 	m.actions = m.actions[:0]
 	if m.now == 0 {
-		m.round.first = m.windowAt(now) + 1 // a door of this name may have taken part in the one that runs
+		// A door of this name may have taken part in the window that runs; and were all to begin as soon as they have
+		// a token, a fleet that starts at once would call at once.
+		m.round.first = m.windowAt(now) + 2
 		m.lease.first = m.epochAt(now) + 1
 		m.pace.at = now
 	}
--- a/internal/audit/pace.go
+++ b/internal/audit/pace.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	callsPerWindow = 2.5             // that a door may make: two in each window, and some for a slot
+	callsPerWindow = 3.2             // that a door may make: two, within 0.7 of the window, and some for a slot
 	burst          = 3.0             // calls that may be saved up
 	shortestWindow = 2 * time.Second // a change needs some time to reach all doors
 	pauseFirst     = 2 * time.Second // after a call that failed or was slow ...
--- a/internal/audit/round.go
+++ b/internal/audit/round.go
@@ -4,14 +4,21 @@
 
 const (
 	readFrom      = 0.15 // part of the window from which on doors read the proposal, spread by their ranks ...
-	readTo        = 0.85 // ... up to here
-	compareFrom   = 0.9  // part from which on a door that is behind looks whether a quorum is ahead
-	keepWindows   = 3    // windows that a number lives
-	configEach    = 4    // one window in so many is about the configuration
+	readTo        = 0.85 // ... up to here; all have voted then
+	compareAfter  = 0.85 // windows after that a door which is behind looks whether a quorum is ahead ...
+	compareLate   = 0.5  // ... or so much later at most, where the counter was spared meanwhile
+	keepWindows   = 2    // windows that a number lives
+	configEach    = 8    // one window in so many is about the configuration
 	levelToClear  = 5    // windows in a row that must say so before a door no longer counts as behind
 	scatterFactor = 0x9e3779b97f4a7c15
 )
 
+// comparison is a proposal that a door is behind, and when it looks whether a quorum has answered it.
+type comparison struct {
+	window, proposal int64
+	at               time.Duration
+}
+
 // round is a door's part in the windows. In each, one door proposes the version that it acts on; every door reads the
 // proposal and adds itself to its count if it acts on that version or a newer one, else looks at the count. What is
 // proposed is a question only: the count is what answers it, so a proposal may be old, absurd or missing.
@@ -20,10 +27,7 @@
 	window   int64 // the one that runs
 	proposed bool
 	read     bool // the proposal
-	answered bool // ... and it has been answered
-	proposal int64
-	compared bool
-	level    int // windows in a row in which the fleet was seen not to be ahead
+	level    int  // windows in a row in which the fleet was seen not to be ahead
 }
 
 func (m *Machine) windowAt(now time.Duration) int64 { return int64(now / m.set.window()) }
@@ -56,11 +60,14 @@
 			func(Status, float64) {})
 	}
 	turn := readFrom + (readTo-readFrom)*float64(m.set.Rank)/float64(m.set.Doors)
-	if !r.read && part >= turn && part < compareFrom {
+	if !r.read && part >= turn {
 		r.read = m.readProposal(r.window)
 	}
-	if r.answered && !r.compared && part >= compareFrom && m.isBehind(r.window, r.proposal) {
-		r.compared = m.compare(r.window, r.proposal)
+	if c := m.ahead; c != nil && m.now >= c.at {
+		late := m.now > c.at+time.Duration(compareLate*float64(length))
+		if late || !m.isBehind(c.window, c.proposal) || m.compare(c.window, c.proposal) {
+			m.ahead = nil
+		}
 	}
 }
 
@@ -94,10 +101,11 @@
 		if status != Added || !ok || window != m.round.window {
 			return
 		}
-		m.round.answered, m.round.proposal = true, proposal
 		if !m.isBehind(window, proposal) {
 			m.vote(window, proposal)
+			return
 		}
+		m.ahead = &comparison{window, proposal, m.now + time.Duration(compareAfter*float64(m.set.window()))}
 	})
 }
 
