Keep the timers of the front door and of the hollow doors in one package

The heap of timers stood twice. internal/timerqueue has it, with the rule of the hollow doors: what a task adds, and is due already, waits for the next run, so a task that adds itself again can't hold the loop. TestTimers moves there with it.

--- a/internal/front/backends.go
+++ b/internal/front/backends.go
@@ -14,6 +14,7 @@
 	"github.com/tidwall/redcon"
 
 	"snowhall"
+	"snowhall/internal/timerqueue"
 )
 
 const (
@@ -31,7 +32,7 @@
 	at      time.Duration
 	until   time.Duration
 	begin   time.Duration // nothing may be written from then on; 0: until
-	timeout *timer
+	timeout *timerqueue.Timer
 	conn    *conn
 	ended   bool
 }
@@ -78,7 +79,7 @@
 
 type probe struct {
 	backend string
-	timeout *timer
+	timeout *timerqueue.Timer
 }
 
 // backends holds the pools of connections.
@@ -218,7 +219,7 @@
 		return
 	}
 	c.attempt, a.conn = a, c
-	a.timeout = bs.f.timers.add(a.until, func() {
+	a.timeout = bs.f.timers.Add(a.until, func() {
 		status := snowhall.Timeout
 		if c.sent.Load() == unsent { // still dialling: it never ran
 			status = snowhall.ConnectFailed
@@ -321,11 +322,11 @@
 		return
 	}
 	c.probe = p
-	p.timeout = bs.f.timers.add(bs.f.now()+2*bs.f.cfg.Transport.DialTimeout, func() { bs.drop(c, snowhall.Timeout) })
+	p.timeout = bs.f.timers.Add(bs.f.now()+2*bs.f.cfg.Transport.DialTimeout, func() { bs.drop(c, snowhall.Timeout) })
 }
 
 func (bs *backends) probed(p *probe, status snowhall.Status) {
-	bs.f.timers.stop(p.timeout)
+	bs.f.timers.Stop(p.timeout)
 	bs.f.tell(snowhall.Probed{Backend: p.backend, Status: status})
 }
 
--- a/internal/front/backends_test.go
+++ b/internal/front/backends_test.go
@@ -161,7 +161,7 @@
 		do   func(f *Front, a *attempt, b *peer)
 	}{
 		"cancel":  {snowhall.Cancelled, func(f *Front, a *attempt, b *peer) { f.act(snowhall.Cancel{ID: a.r.id}) }},
-		"timeout": {snowhall.Timeout, func(f *Front, a *attempt, b *peer) { f.timers.run(a.until) }},
+		"timeout": {snowhall.Timeout, func(f *Front, a *attempt, b *peer) { f.timers.Run(a.until) }},
 		"reset":   {snowhall.Reset, func(f *Front, a *attempt, b *peer) { b.nc.Close() }},
 		"gone":    {snowhall.Cancelled, func(f *Front, a *attempt, b *peer) { f.gone(a.r.ask) }},
 		"noise":   {snowhall.Failed, func(f *Front, a *attempt, b *peer) { b.write("\x00\x01\x02\r\n") }},
@@ -187,7 +187,7 @@
 			pump(t, f, func() bool { return a.ended })
 			wantOutcome(t, f, end.want)
 			f.act(snowhall.Cancel{ID: a.r.id}) // what comes later changes nothing
-			f.timers.run(a.until)
+			f.timers.Run(a.until)
 			conn.ended()
 			wantOutcome(t, f, end.want)
 			if end.want != snowhall.Full && end.want != snowhall.OK {
@@ -371,7 +371,7 @@
 	f := idle(t, ln.Addr().String())
 	a, _ := inUse(t, f, ln)
 	f.take(members(2), snowhall.Whole)
-	f.timers.run(a.until)
+	f.timers.Run(a.until)
 	wantOutcome(t, f, snowhall.Timeout)
 	if len(f.backends.all) != 0 || f.backends.count != 0 {
 		t.Errorf("%d backends and %d connections are kept", len(f.backends.all), f.backends.count)
--- a/internal/front/counter.go
+++ b/internal/front/counter.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"snowhall"
+	"snowhall/internal/timerqueue"
 )
 
 const (
@@ -54,7 +55,7 @@
 	ended   bool
 	status  snowhall.Status // once it has ended ...
 	total   float64
-	timeout *timer
+	timeout *timerqueue.Timer
 }
 
 func newCounter(f *Front) *counter {
@@ -86,7 +87,7 @@
 		if len(old.calls) == 0 {
 			old.close()
 		} else {
-			c.f.timers.add(now+counterMoved, func() { old.broke(old.epoch) })
+			c.f.timers.Add(now+counterMoved, func() { old.broke(old.epoch) })
 		}
 		if len(l.calls) > 0 {
 			l.flush()
@@ -119,7 +120,7 @@
 	}
 	l.calls = append(l.calls, k)
 	l.used = now
-	k.timeout = c.f.timers.add(now+c.f.cfg.Settings.CounterTimeout, func() { k.line.giveUp(k) })
+	k.timeout = c.f.timers.Add(now+c.f.cfg.Settings.CounterTimeout, func() { k.line.giveUp(k) })
 	l.flush()
 }
 
@@ -147,7 +148,7 @@
 	}
 	k.ended = true
 	k.status, k.total = status, total
-	l.f.timers.stop(k.timeout)
+	l.f.timers.Stop(k.timeout)
 	open := l.f.counter.open
 	all := open[k.name]
 	for len(all) > 0 && all[0].ended {
--- a/internal/front/counter_test.go
+++ b/internal/front/counter_test.go
@@ -25,7 +25,7 @@
 }
 
 // giveUpCalls lets the time of all calls that are out run out.
-func giveUpCalls(f *Front) { f.timers.run(f.now() + f.cfg.Settings.CounterTimeout) }
+func giveUpCalls(f *Front) { f.timers.Run(f.now() + f.cfg.Settings.CounterTimeout) }
 
 // Answers belong to calls in their order, also to calls that were given up on: their places are kept.
 func TestCounterKeepsPlaces(t *testing.T) {
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -3,7 +3,6 @@
 package front
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
 	"log/slog"
@@ -13,6 +12,7 @@
 	"time"
 
 	"snowhall"
+	"snowhall/internal/timerqueue"
 )
 
 const (
@@ -34,7 +34,7 @@
 	done   chan struct{}
 	events []snowhall.Event // for the next Step
 	ready  atomic.Bool      // a backend in service has been known, so requests can be served
-	timers timers
+	timers timerqueue.Queue
 
 	watchdog watchdog
 
@@ -55,7 +55,7 @@
 	id       uint64
 	ask      *ask
 	due      time.Duration // when the client gives up
-	overdue  *timer
+	overdue  *timerqueue.Timer
 	attempts []*attempt
 	open     int // attempts without an outcome
 	ended    bool
@@ -138,7 +138,7 @@
 	term := ctx.Done()
 	var finish, give, end time.Duration // on the loop's clock; 0: not shutting down
 	for {
-		wait := f.timers.next(f.now())
+		wait := f.timers.Wait(f.now())
 		if finish > 0 {
 			wait = min(wait, 10*time.Millisecond)
 		}
@@ -153,8 +153,8 @@
 			finish = f.now() + acceptAfterTerm
 			give = finish + min(f.longest(), longestAtEnd) + answerMargin
 			end = give + flushWithin
-			f.timers.add(finish, func() { f.clients.close(ln) })
-			f.timers.add(give, f.giveUp)
+			f.timers.Add(finish, func() { f.clients.close(ln) })
+			f.timers.Add(give, f.giveUp)
 		}
 		f.watchdog.begin()
 		f.audit.beginPass()
@@ -164,7 +164,7 @@
 		for range len(f.tasks) { // all that is there goes into one Step
 			(<-f.tasks)()
 		}
-		f.timers.run(f.now())
+		f.timers.Run(f.now())
 		f.step()
 		f.answerOverdue()
 		f.audit.endPass()
@@ -268,7 +268,7 @@
 	case snowhall.Count:
 		f.counter.count(a)
 	case snowhall.SetTimer:
-		f.timers.add(a.At, func() { f.tell(snowhall.Timer{Cookie: a.Cookie}) })
+		f.timers.Add(a.At, func() { f.tell(snowhall.Timer{Cookie: a.Cookie}) })
 	case snowhall.Watch, snowhall.Fetch:
 		f.discovery.askForDoor()
 	case snowhall.Log:
@@ -303,7 +303,7 @@
 	f.requests[r.id] = r
 	// The module answers in time by its own timers. Should it not, the client still hears back in time. Where the loop
 	// is late, both timers run at once: the module has its Step first.
-	r.overdue = f.timers.add(r.due, func() { f.overdue = append(f.overdue, r) })
+	r.overdue = f.timers.Add(r.due, func() { f.overdue = append(f.overdue, r) })
 	f.tell(snowhall.Request{ID: r.id, Class: a.class, Plan: a.plan, Customer: a.customer,
 		Units: a.units, Doors: a.spread, Retry: a.retry}) // Left: see arrive
 }
@@ -329,7 +329,7 @@
 func (f *Front) leave(r *request) {
 	r.ended = true
 	delete(f.open, string(r.ask.args[2]))
-	f.timers.stop(r.overdue)
+	f.timers.Stop(r.overdue)
 	for _, a := range r.attempts {
 		f.backends.cancel(a)
 	}
@@ -365,76 +365,17 @@
 		return
 	}
 	a.ended = true
-	f.timers.stop(a.timeout)
+	f.timers.Stop(a.timeout)
 	a.r.open--
 	f.tell(snowhall.Outcome{ID: a.r.id, Attempt: a.no, Backend: a.backend, Status: status,
 		Latency: f.now() - a.at, Closed: a.r.ended, Used: used, Units: units})
 	f.forget(a.r)
 }
 
-// timer is a task for later.
-type timer struct {
-	at   time.Duration
-	do   func()
-	spot int // in the heap; -1: no longer there
-}
-
-// timers is a heap of all that is due at some time.
-type timers struct{ heap timerHeap }
-
-func (t *timers) add(at time.Duration, do func()) *timer {
-	e := &timer{at: at, do: do}
-	heap.Push(&t.heap, e)
-	return e
-}
-
-// stop takes a timer back; nil or one that has run is passed over.
-func (t *timers) stop(e *timer) {
-	if e != nil && e.spot >= 0 {
-		heap.Remove(&t.heap, e.spot)
-	}
-}
-
-// next is the time until the first timer.
-func (t *timers) next(now time.Duration) time.Duration {
-	if len(t.heap) == 0 {
-		return time.Hour
-	}
-	return max(0, t.heap[0].at-now)
-}
-
-// run runs the timers that are due.
-func (t *timers) run(now time.Duration) {
-	for len(t.heap) > 0 && t.heap[0].at <= now {
-		heap.Pop(&t.heap).(*timer).do()
-	}
-}
-
 // every runs a task again and again.
 func (f *Front) every(pause time.Duration, do func()) {
-	f.timers.add(f.now()+pause, func() {
+	f.timers.Add(f.now()+pause, func() {
 		do()
 		f.every(pause, do)
 	})
 }
-
-type timerHeap []*timer
-
-func (h timerHeap) Len() int           { return len(h) }
-func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h timerHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].spot, h[j].spot = i, j
-}
-func (h *timerHeap) Push(e any) {
-	e.(*timer).spot = len(*h)
-	*h = append(*h, e.(*timer))
-}
-func (h *timerHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	e.spot = -1
-	return e
-}
--- a/internal/front/loop_test.go
+++ b/internal/front/loop_test.go
@@ -18,33 +18,12 @@
 	}
 }
 
-func TestTimers(t *testing.T) {
-	var ts timers
-	var got []int
-	add := func(at int) *timer { return ts.add(time.Duration(at), func() { got = append(got, at) }) }
-	third := add(3)
-	add(2)
-	first := add(1)
-	add(4)
-	ts.stop(third)
-	ts.stop(third)
-	ts.stop(nil)
-	if next := ts.next(0); next != 1 {
-		t.Errorf("next in %d", next)
-	}
-	ts.run(3)
-	ts.stop(first)
-	if len(got) != 2 || got[0] != 1 || got[1] != 2 || ts.next(9) != 0 {
-		t.Errorf("ran %v", got)
-	}
-}
-
 // The module never lets a request go unanswered; should it, the loop's own timer answers and calls off.
 func TestOverdueRequest(t *testing.T) {
 	ln := listen(t)
 	f := idle(t, ln.Addr().String())
 	a := try(t, f)
-	f.timers.run(a.r.due)
+	f.timers.Run(a.r.due)
 	if a.r.ended {
 		t.Error("it is answered before the module's own timer has had its Step")
 	}
--- a/internal/mixed/hollow.go
+++ b/internal/mixed/hollow.go
@@ -1,7 +1,6 @@
 package mixed
 
 import (
-	"container/heap"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -11,6 +10,7 @@
 
 	"snowhall"
 	"snowhall/internal/standin"
+	"snowhall/internal/timerqueue"
 )
 
 const (
@@ -30,7 +30,7 @@
 	index    int64 // of the list as this door has it
 	listed   []bool
 	events   []snowhall.Event
-	timers   alarms
+	timers   timerqueue.Queue
 	requests map[uint64]*hollowRequest
 	lastID   uint64
 	left     int // requests still to come; below 0: without end
@@ -47,7 +47,7 @@
 	id       uint64
 	q        *standin.Request
 	due      time.Duration
-	overdue  *alarm
+	overdue  *timerqueue.Timer
 	attempts []*hollowAttempt
 	open     int
 	ended    bool
@@ -58,7 +58,7 @@
 	no      int
 	backend string
 	at      time.Duration
-	result  *alarm
+	result  *timerqueue.Timer
 	ended   bool
 }
 
@@ -90,7 +90,7 @@
 		}
 		h.ready.Store(true)
 		h.idle.Store(h.left == 0 && len(h.requests) == 0)
-		alarm.Reset(h.timers.wait(h.w.now()))
+		alarm.Reset(h.timers.Wait(h.w.now()))
 		select {
 		case <-ctx.Done():
 			return
@@ -111,10 +111,10 @@
 		case <-alarm.C:
 		}
 		now := h.w.now()
-		if late := h.timers.late(now); late > 0 {
+		if late := h.timers.Late(now); late > 0 {
 			h.w.hollowLate.record(late)
 		}
-		h.timers.run(now)
+		h.timers.Run(now)
 	}
 }
 
@@ -170,13 +170,13 @@
 		}
 		h.after(counterHop, func() { h.tell(ev) })
 	case snowhall.SetTimer:
-		h.timers.add(a.At, func() { h.tell(snowhall.Timer{Cookie: a.Cookie}) })
+		h.timers.Add(a.At, func() { h.tell(snowhall.Timer{Cookie: a.Cookie}) })
 	case snowhall.Fetch:
 		h.after(refusedHop, func() { h.take(h.w.catalog.Whole(), snowhall.Whole) })
 	}
 }
 
-func (h *hollow) after(pause time.Duration, do func()) { h.timers.add(h.w.now()+pause, do) }
+func (h *hollow) after(pause time.Duration, do func()) { h.timers.Add(h.w.now()+pause, do) }
 
 // take hands a list or its changes on.
 func (h *hollow) take(m standin.Members, scope snowhall.Scope) {
@@ -203,13 +203,13 @@
 	now := h.w.now()
 	for n := 0; h.left != 0; n++ {
 		if n >= mostAtATime {
-			h.timers.add(now, h.arrive)
+			h.timers.Add(now, h.arrive)
 			return
 		}
 		gap, q := h.traffic.Next()
 		h.nextAt += gap
 		if h.nextAt > now {
-			h.timers.add(h.nextAt, func() {
+			h.timers.Add(h.nextAt, func() {
 				if h.left != 0 {
 					h.arrived(q)
 					h.arrive()
@@ -233,7 +233,7 @@
 	h.lastID++
 	r := &hollowRequest{id: h.lastID, q: q, due: now + q.Wait}
 	h.requests[r.id] = r
-	r.overdue = h.timers.add(r.due, func() {
+	r.overdue = h.timers.Add(r.due, func() {
 		h.abandoned.Add(1)
 		h.leave(r, standin.Failed)
 		h.tell(snowhall.Gone{ID: r.id})
@@ -260,19 +260,19 @@
 	h.w.reached(i, h.rank, wall)
 	done, ok := h.w.model.Begin(i, wall)
 	if !ok {
-		a.result = h.timers.add(now+refusedHop, func() { h.end(a, snowhall.Full) })
+		a.result = h.timers.Add(now+refusedHop, func() { h.end(a, snowhall.Full) })
 		return
 	}
 	h.w.ledger.Ran(r.q.ID)
 	if took := done.Sub(wall); now+took < until {
-		a.result = h.timers.add(now+took, func() {
+		a.result = h.timers.Add(now+took, func() {
 			h.w.ledger.Took(r.q.ID, took)
 			h.answer(r, standin.Served)
 			h.end(a, snowhall.OK)
 		})
 		return
 	}
-	a.result = h.timers.add(until, func() { h.end(a, snowhall.Timeout) })
+	a.result = h.timers.Add(until, func() { h.end(a, snowhall.Timeout) })
 }
 
 // end gives the one outcome of an attempt.
@@ -281,7 +281,7 @@
 		return
 	}
 	a.ended = true
-	h.timers.stop(a.result)
+	h.timers.Stop(a.result)
 	a.r.open--
 	h.tell(snowhall.Outcome{ID: a.r.id, Attempt: a.no, Backend: a.backend, Status: status,
 		Latency: h.w.now() - a.at, Closed: a.r.ended})
@@ -299,7 +299,7 @@
 // was served can be out at a Served.
 func (h *hollow) leave(r *hollowRequest, how standin.Ending) {
 	r.ended = true
-	h.timers.stop(r.overdue)
+	h.timers.Stop(r.overdue)
 	h.w.ledger.Ended(r.q, how)
 	if how != standin.Served {
 		for _, a := range r.attempts {
@@ -315,82 +315,6 @@
 	}
 }
 
-// alarm is a task for later.
-type alarm struct {
-	at   time.Duration
-	do   func()
-	spot int // in the heap; -1: no longer there
-}
-
-// alarms is a heap of tasks, the first that is due on top.
-type alarms struct{ all alarmHeap }
-
-func (t *alarms) add(at time.Duration, do func()) *alarm {
-	e := &alarm{at: at, do: do}
-	heap.Push(&t.all, e)
-	return e
-}
-
-// stop takes a task back; nil or one that has run is passed over.
-func (t *alarms) stop(e *alarm) {
-	if e == nil {
-		return
-	}
-	if e.do = nil; e.spot >= 0 {
-		heap.Remove(&t.all, e.spot)
-	}
-}
-
-// wait is the time until the first task.
-func (t *alarms) wait(now time.Duration) time.Duration {
-	if len(t.all) == 0 {
-		return time.Hour
-	}
-	return max(0, t.all[0].at-now)
-}
-
-// late is how long the first task has been due.
-func (t *alarms) late(now time.Duration) time.Duration {
-	if len(t.all) == 0 {
-		return 0
-	}
-	return now - t.all[0].at
-}
-
-// run runs the tasks that are due. What they add is left for the next time.
-func (t *alarms) run(now time.Duration) {
-	var due []*alarm
-	for len(t.all) > 0 && t.all[0].at <= now {
-		due = append(due, heap.Pop(&t.all).(*alarm))
-	}
-	for _, e := range due {
-		if e.do != nil {
-			e.do()
-		}
-	}
-}
-
-type alarmHeap []*alarm
-
-func (h alarmHeap) Len() int           { return len(h) }
-func (h alarmHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h alarmHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].spot, h[j].spot = i, j
-}
-func (h *alarmHeap) Push(e any) {
-	e.(*alarm).spot = len(*h)
-	*h = append(*h, e.(*alarm))
-}
-func (h *alarmHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	e.spot = -1
-	return e
-}
-
 // histogram is a histogram of times in microseconds, safe for concurrent use.
 type histogram struct {
 	mu  sync.Mutex
