--- a/internal/audit/fleet_test.go
+++ b/internal/audit/fleet_test.go
@@ -418,8 +418,21 @@
 	for range 60 * time.Second / tick {
 		f.step(0)
 	}
-	for rank, d := range f.doors {
-		if named := strings.Join(steps(d), ","); named != map[bool]string{true: string(OtherConfiguration)}[rank == 4] {
+	missed := f.doors[4]
+	if named := strings.Join(steps(missed), ","); named != string(OtherConfiguration) {
+		t.Errorf("the door that missed it took steps %q", named)
+	}
+	for _, revision := range []uint64{8, 7} { // it takes it, and loses it again
+		missed.events = append(missed.events, Configured{Revision: revision})
+		for range 60 * time.Second / tick {
+			f.step(0)
+		}
+	}
+	if named := steps(missed); len(named) != 2 {
+		t.Errorf("the door that lost it again took steps %q", named)
+	}
+	for rank, d := range f.doors[:4] {
+		if named := steps(d); len(named) > 0 {
 			t.Errorf("door %d took steps %q", rank, named)
 		}
 	}
--- a/internal/audit/round.go
+++ b/internal/audit/round.go
@@ -122,7 +122,11 @@
 func (m *Machine) vote(window, proposal int64) {
 	m.count(m.countName(window, proposal), m.tally.amount(m.set.Rank), keepWindows*m.set.window(),
 		func(status Status, total float64) {
-			if status == Added && !isConfig(window) && window == m.round.window {
+			switch {
+			case status != Added || window != m.round.window:
+			case isConfig(window):
+				m.reported = 0
+			default:
 				m.notBehind()
 			}
 		})
