--- a/api.go
+++ b/api.go
@@ -1,11 +1,11 @@
-// Package snowhall makes the decisions of one front door ("door") that meters many customers' use of one
+// Package bellwood makes the decisions of one front door ("door") that meters many customers' use of one
 // shared service: which requests go on, to which backend, when, how often, and which are refused.
 //
 // A [Door] does no input or output and starts no goroutine. The caller hands it what happened as [Event]
 // values and carries out the [Action] values that come back, in their order. All times are time.Duration
 // values on the caller's clock, which may start anywhere and must not go back. The same settings, seed and
 // events give the same actions. A Door is not safe for concurrent use; different Doors share nothing.
-package snowhall
+package bellwood
 
 import "time"
 
--- a/cmd/gapgap/log_test.go
+++ b/cmd/bellwood/log_test.go
@@ -14,7 +14,7 @@
 
 const (
 	patient = 20 * time.Second
-	asMain  = "GAPGAP_TEST_AS_MAIN" // in the environment of a process that is to be the program, not the tests
+	asMain  = "BELLWOOD_TEST_AS_MAIN" // in the environment of a process that is to be the program, not the tests
 )
 
 func TestMain(m *testing.M) {
--- a/cmd/gapgap/main.go
+++ b/cmd/bellwood/main.go
@@ -1,4 +1,4 @@
-// Command gapgap is one front door: it meters customers' quotas and passes their requests on to a shared fleet.
+// Command bellwood is one front door: it meters customers' quotas and passes their requests on to a shared fleet.
 package main
 
 import (
@@ -13,8 +13,8 @@
 	"syscall"
 	"time"
 
-	"snowhall/internal/front"
-	"snowhall/internal/logsink"
+	"bellwood/internal/front"
+	"bellwood/internal/logsink"
 )
 
 // gcPercent is how much garbage may gather for each live byte. The heap has few MB, so collections would else come
@@ -26,7 +26,7 @@
 
 func main() {
 	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "gapgap:", err)
+		fmt.Fprintln(os.Stderr, "bellwood:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -18,7 +18,7 @@
 
 	"github.com/spf13/cobra"
 
-	"snowhall/internal/scale"
+	"bellwood/internal/scale"
 )
 
 func main() {
--- a/cmd/scalerun/main_test.go
+++ b/cmd/scalerun/main_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"snowhall/internal/scale"
+	"bellwood/internal/scale"
 )
 
 // call runs the command line and returns what it printed, its progress and its error.
--- a/cmd/scalerun/mixed.go
+++ b/cmd/scalerun/mixed.go
@@ -9,8 +9,8 @@
 
 	"github.com/spf13/cobra"
 
-	"snowhall/internal/mixed"
-	"snowhall/internal/scale"
+	"bellwood/internal/mixed"
+	"bellwood/internal/scale"
 )
 
 // mixedRun are the flags of runs with real doors.
--- a/cmd/drill/main.go
+++ b/cmd/simhost/main.go
@@ -1,4 +1,4 @@
-// Command drill hosts one snowhall.Door for each instance on the simulator's wire.
+// Command simhost hosts one bellwood.Door for each instance on the simulator's wire.
 package main
 
 import (
@@ -8,13 +8,13 @@
 	"io"
 	"os"
 
-	"snowhall"
-	"snowhall/internal/wire"
+	"bellwood"
+	"bellwood/internal/wire"
 )
 
 func main() {
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "drill:", err)
+		fmt.Fprintln(os.Stderr, "simhost:", err)
 		os.Exit(1)
 	}
 }
@@ -22,7 +22,7 @@
 // run answers batches until the input ends.
 func run(in io.Reader, out io.Writer) error {
 	r, w := wire.NewReader(in), bufio.NewWriterSize(out, 1<<20)
-	doors := map[string]*snowhall.Door{}
+	doors := map[string]*bellwood.Door{}
 	var line []byte
 	for {
 		b, err := r.Next()
@@ -36,7 +36,7 @@
 			it := b.Items[i]
 			switch {
 			case it.Start:
-				d, err := snowhall.New(it.Settings, it.Seed)
+				d, err := bellwood.New(it.Settings, it.Seed)
 				if err != nil {
 					return fmt.Errorf("settings of %s: %w", it.Door, err)
 				}
@@ -50,7 +50,7 @@
 				i++
 				continue
 			}
-			var events []snowhall.Event
+			var events []bellwood.Event
 			for ; i < len(b.Items) && b.Items[i].Door == it.Door && b.Items[i].Event != nil; i++ {
 				events = append(events, b.Items[i].Event)
 			}
--- a/door.go
+++ b/door.go
@@ -1,4 +1,4 @@
-package snowhall
+package bellwood
 
 // The decisions of a door. The types are in api.go. The mechanism is that of J. Andersson and M. Kihl, "Load
 // Balancing and Admission Control of a Parlay X Application Server", NTS 17, 2004, sections 3.1 and 4: a
--- a/internal/front/audit.go
+++ b/internal/front/audit.go
@@ -8,8 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"snowhall"
-	"snowhall/internal/audit"
+	"bellwood"
+	"bellwood/internal/audit"
 )
 
 // standsStill is a pass of the loop, or a wait for one, after which the process counts as having stood still. The
@@ -92,8 +92,8 @@
 }
 
 // quotaCallEnded tells of calls that the counter did not answer, so that the audit spares it.
-func (a *auditor) quotaCallEnded(status snowhall.Status) {
-	if a != nil && status != snowhall.OK {
+func (a *auditor) quotaCallEnded(status bellwood.Status) {
+	if a != nil && status != bellwood.OK {
 		a.tell(audit.QuotaCallFailed{})
 	}
 }
@@ -157,11 +157,11 @@
 		a.f.discovery.askAndFollow(func(ok bool) { a.tell(audit.ListTaken{OK: ok}) })
 	case audit.Suspend:
 		a.f.suspended.Store(true)
-		a.f.tell(snowhall.Suspend{On: true})
+		a.f.tell(bellwood.Suspend{On: true})
 		a.f.backends.dropAllDialled()
 	case audit.Resume:
 		a.f.suspended.Store(false)
-		a.f.tell(snowhall.Suspend{On: false})
+		a.f.tell(bellwood.Suspend{On: false})
 	case audit.Log:
 		level := slog.LevelInfo
 		if _, ok := action.Record.(audit.StepRecord); ok {
@@ -173,12 +173,12 @@
 
 // count makes a call for the audit.
 func (a *auditor) count(c audit.Count) {
-	a.f.counter.add(c.Name, c.Amount, c.Keep, func(status snowhall.Status, total float64) {
+	a.f.counter.add(c.Name, c.Amount, c.Keep, func(status bellwood.Status, total float64) {
 		ended := audit.Unknown
 		switch status {
-		case snowhall.OK:
+		case bellwood.OK:
 			ended = audit.Added
-		case snowhall.Full, snowhall.ConnectFailed:
+		case bellwood.Full, bellwood.ConnectFailed:
 			ended = audit.Refused
 		}
 		a.tell(audit.Counted{Call: c.Call, Status: ended, Total: total})
--- a/internal/front/auditconfig.go
+++ b/internal/front/auditconfig.go
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"snowhall/internal/audit"
+	"bellwood/internal/audit"
 )
 
 // What the section audit of the configuration has where it does not say.
--- a/internal/front/backends_test.go
+++ b/internal/front/backends_test.go
@@ -8,23 +8,23 @@
 
 	"github.com/tidwall/redcon"
 
-	"snowhall"
+	"bellwood"
 )
 
 func TestReadReply(t *testing.T) {
 	for text, want := range map[string]reply{
-		"*3\r\n$2\r\nhi\r\n$14\r\nused=37,cost=4\r\n$-1\r\n": {status: snowhall.OK, value: []byte("$2\r\nhi\r\n"), used: 38, units: 4},
-		"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n":                     {status: snowhall.OK, value: []byte("$0\r\n\r\n")},
-		"-ERR failed\r\n":                                    {status: snowhall.Failed},
-		"-ERR failed used=0 inflight=7\r\n":                  {status: snowhall.Failed, used: 1},
-		"-BUSY cost=1,used=120\r\n":                          {status: snowhall.Full, used: 121},
-		"-ER\x00 x used=3\r\n":                               {status: snowhall.Failed, odd: true, used: 4},
-		"-BUSY\r\n":                                          {status: snowhall.Full},
-		"+PONG\r\n":                                          {status: snowhall.OK, odd: true, pong: true},
-		"*1\r\n$-1\r\n":                                      {status: snowhall.Failed, odd: true},
-		"*0\r\n":                                             {status: snowhall.Failed, odd: true},
-		"$2\r\nhi\r\n":                                       {status: snowhall.Failed, odd: true},
-		":1\r\n":                                             {status: snowhall.Failed, odd: true},
+		"*3\r\n$2\r\nhi\r\n$14\r\nused=37,cost=4\r\n$-1\r\n": {status: bellwood.OK, value: []byte("$2\r\nhi\r\n"), used: 38, units: 4},
+		"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n":                     {status: bellwood.OK, value: []byte("$0\r\n\r\n")},
+		"-ERR failed\r\n":                                    {status: bellwood.Failed},
+		"-ERR failed used=0 inflight=7\r\n":                  {status: bellwood.Failed, used: 1},
+		"-BUSY cost=1,used=120\r\n":                          {status: bellwood.Full, used: 121},
+		"-ER\x00 x used=3\r\n":                               {status: bellwood.Failed, odd: true, used: 4},
+		"-BUSY\r\n":                                          {status: bellwood.Full},
+		"+PONG\r\n":                                          {status: bellwood.OK, odd: true, pong: true},
+		"*1\r\n$-1\r\n":                                      {status: bellwood.Failed, odd: true},
+		"*0\r\n":                                             {status: bellwood.Failed, odd: true},
+		"$2\r\nhi\r\n":                                       {status: bellwood.Failed, odd: true},
+		":1\r\n":                                             {status: bellwood.Failed, odd: true},
 	} {
 		n, m := redcon.ReadNextRESP([]byte(text))
 		if got := readReply(m); n != len(text) || fmt.Sprint(got) != fmt.Sprint(want) {
@@ -103,7 +103,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.take(members(1, addrs...), snowhall.Cached)
+	f.take(members(1, addrs...), bellwood.Cached)
 	f.events = nil
 	t.Cleanup(func() { close(f.done) })
 	return f
@@ -120,7 +120,7 @@
 	f.arrived(a)
 	r := f.requests[a.id]
 	f.events = nil
-	f.send(r, snowhall.Send{ID: r.id, Backend: "s-0", Timeout: 10 * time.Second})
+	f.send(r, bellwood.Send{ID: r.id, Backend: "s-0", Timeout: 10 * time.Second})
 	return r.attempts[0]
 }
 
@@ -139,16 +139,16 @@
 }
 
 // outcomes returns the outcomes told so far.
-func outcomes(f *Front) (all []snowhall.Outcome) {
+func outcomes(f *Front) (all []bellwood.Outcome) {
 	for _, ev := range f.events {
-		if o, ok := ev.(snowhall.Outcome); ok {
+		if o, ok := ev.(bellwood.Outcome); ok {
 			all = append(all, o)
 		}
 	}
 	return all
 }
 
-func wantOutcome(t *testing.T, f *Front, want snowhall.Status) {
+func wantOutcome(t *testing.T, f *Front, want bellwood.Status) {
 	t.Helper()
 	if got := outcomes(f); len(got) != 1 || got[0].Status != want {
 		t.Errorf("outcomes %+v, want one %v", got, want)
@@ -157,19 +157,19 @@
 
 func TestOneOutcomeForEachSend(t *testing.T) {
 	ends := map[string]struct {
-		want snowhall.Status
+		want bellwood.Status
 		do   func(f *Front, a *attempt, b *peer)
 	}{
-		"cancel":  {snowhall.Cancelled, func(f *Front, a *attempt, b *peer) { f.act(snowhall.Cancel{ID: a.r.id}) }},
-		"timeout": {snowhall.Timeout, func(f *Front, a *attempt, b *peer) { f.timers.Run(a.until) }},
-		"reset":   {snowhall.Reset, func(f *Front, a *attempt, b *peer) { b.nc.Close() }},
-		"gone":    {snowhall.Cancelled, func(f *Front, a *attempt, b *peer) { f.gone(a.r.ask) }},
-		"noise":   {snowhall.Failed, func(f *Front, a *attempt, b *peer) { b.write("\x00\x01\x02\r\n") }},
-		"length":  {snowhall.Failed, func(f *Front, a *attempt, b *peer) { b.write("*1\r\n$3000000000\r\nx") }},
-		"short":   {snowhall.Failed, func(f *Front, a *attempt, b *peer) { b.write("*1\r\n$20\r\nx\r\n") }}, // and no more
-		"line":    {snowhall.Failed, func(f *Front, a *attempt, b *peer) { b.write("-OOPS\r\n") }},
-		"full":    {snowhall.Full, func(f *Front, a *attempt, b *peer) { b.write("-BUSY\r\n") }},
-		"served":  {snowhall.OK, func(f *Front, a *attempt, b *peer) { b.write("*1\r\n$1\r\nx\r\n") }},
+		"cancel":  {bellwood.Cancelled, func(f *Front, a *attempt, b *peer) { f.act(bellwood.Cancel{ID: a.r.id}) }},
+		"timeout": {bellwood.Timeout, func(f *Front, a *attempt, b *peer) { f.timers.Run(a.until) }},
+		"reset":   {bellwood.Reset, func(f *Front, a *attempt, b *peer) { b.nc.Close() }},
+		"gone":    {bellwood.Cancelled, func(f *Front, a *attempt, b *peer) { f.gone(a.r.ask) }},
+		"noise":   {bellwood.Failed, func(f *Front, a *attempt, b *peer) { b.write("\x00\x01\x02\r\n") }},
+		"length":  {bellwood.Failed, func(f *Front, a *attempt, b *peer) { b.write("*1\r\n$3000000000\r\nx") }},
+		"short":   {bellwood.Failed, func(f *Front, a *attempt, b *peer) { b.write("*1\r\n$20\r\nx\r\n") }}, // and no more
+		"line":    {bellwood.Failed, func(f *Front, a *attempt, b *peer) { b.write("-OOPS\r\n") }},
+		"full":    {bellwood.Full, func(f *Front, a *attempt, b *peer) { b.write("-BUSY\r\n") }},
+		"served":  {bellwood.OK, func(f *Front, a *attempt, b *peer) { b.write("*1\r\n$1\r\nx\r\n") }},
 	}
 	for name, end := range ends {
 		t.Run(name, func(t *testing.T) {
@@ -186,11 +186,11 @@
 			end.do(f, a, b)
 			pump(t, f, func() bool { return a.ended })
 			wantOutcome(t, f, end.want)
-			f.act(snowhall.Cancel{ID: a.r.id}) // what comes later changes nothing
+			f.act(bellwood.Cancel{ID: a.r.id}) // what comes later changes nothing
 			f.timers.Run(a.until)
 			conn.ended()
 			wantOutcome(t, f, end.want)
-			if end.want != snowhall.Full && end.want != snowhall.OK {
+			if end.want != bellwood.Full && end.want != bellwood.OK {
 				b.wantsEnd()
 			}
 		})
@@ -204,10 +204,10 @@
 		"drain": func(f *Front, a *attempt) {
 			m := members(2, f.backends.all["s-0"].addr)
 			m.Endpoints[0].Status = "DRAINING"
-			f.take(m, snowhall.Delta)
+			f.take(m, bellwood.Delta)
 		},
-		"left out": func(f *Front, a *attempt) { f.take(members(2), snowhall.Whole) },
-		"cancel":   func(f *Front, a *attempt) { f.act(snowhall.Cancel{ID: a.r.id}) },
+		"left out": func(f *Front, a *attempt) { f.take(members(2), bellwood.Whole) },
+		"cancel":   func(f *Front, a *attempt) { f.act(bellwood.Cancel{ID: a.r.id}) },
 		"gone":     func(f *Front, a *attempt) { f.gone(a.r.ask) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -216,7 +216,7 @@
 			a := try(t, f)
 			b := accept(t, ln) // the connection is up, but the loop has not heard of it
 			end(f, a)
-			wantOutcome(t, f, snowhall.Moot)
+			wantOutcome(t, f, bellwood.Moot)
 			for len(f.tasks) > 0 {
 				(<-f.tasks)()
 			}
@@ -246,7 +246,7 @@
 	p.message()
 	other := &attempt{r: a.r, no: 1, backend: "s-1", until: a.until}
 	f.backends.send(other)
-	wantOutcome(t, f, snowhall.Moot)
+	wantOutcome(t, f, bellwood.Moot)
 	for c := a.conn; c.sent.Load() != whole; {
 		time.Sleep(time.Millisecond)
 	}
@@ -262,7 +262,7 @@
 	f := idle(t, freeAddr(t))
 	a := try(t, f)
 	pump(t, f, func() bool { return a.ended })
-	wantOutcome(t, f, snowhall.ConnectFailed)
+	wantOutcome(t, f, bellwood.ConnectFailed)
 }
 
 // A backend that has fallen silent may be a machine that is gone: connections that were idle since then are not
@@ -276,7 +276,7 @@
 		func() {
 			m := members(2, b.addr)
 			m.Endpoints[0].SinceMS = 5
-			f.take(m, snowhall.Delta)
+			f.take(m, bellwood.Delta)
 		},
 	} {
 		a := try(t, f)
@@ -350,16 +350,16 @@
 	ln, next := listen(t), listen(t)
 	f := idle(t, ln.Addr().String())
 	a, p := inUse(t, f, ln)
-	f.take(members(2, next.Addr().String()), snowhall.Whole)
+	f.take(members(2, next.Addr().String()), bellwood.Whole)
 	p.write("*1\r\n$1\r\nx\r\n")
 	pump(t, f, func() bool { return a.ended })
-	wantOutcome(t, f, snowhall.OK)
+	wantOutcome(t, f, bellwood.OK)
 	p.wantsEnd()
 	f.events = nil
 	a = try(t, f)
 	dialling := a.conn
-	f.take(members(3, ln.Addr().String()), snowhall.Whole) // it moves while it is being dialled
-	wantOutcome(t, f, snowhall.Moot)
+	f.take(members(3, ln.Addr().String()), bellwood.Whole) // it moves while it is being dialled
+	wantOutcome(t, f, bellwood.Moot)
 	if !dialling.closed {
 		t.Error("the dial to the old address goes on")
 	}
@@ -370,9 +370,9 @@
 	ln := listen(t)
 	f := idle(t, ln.Addr().String())
 	a, _ := inUse(t, f, ln)
-	f.take(members(2), snowhall.Whole)
+	f.take(members(2), bellwood.Whole)
 	f.timers.Run(a.until)
-	wantOutcome(t, f, snowhall.Timeout)
+	wantOutcome(t, f, bellwood.Timeout)
 	if len(f.backends.all) != 0 || f.backends.count != 0 {
 		t.Errorf("%d backends and %d connections are kept", len(f.backends.all), f.backends.count)
 	}
@@ -382,7 +382,7 @@
 func TestProbe(t *testing.T) {
 	ln := listen(t)
 	f := idle(t, ln.Addr().String())
-	for text, want := range map[string]snowhall.Status{"+PONG\r\n": snowhall.OK, "-ERR no\r\n": snowhall.Failed} {
+	for text, want := range map[string]bellwood.Status{"+PONG\r\n": bellwood.OK, "-ERR no\r\n": bellwood.Failed} {
 		f.events = nil
 		f.backends.probe("s-0")
 		p := accept(t, ln)
@@ -392,7 +392,7 @@
 		}
 		p.write(text)
 		pump(t, f, func() bool { return len(f.events) > 0 })
-		if got := f.events[0].(snowhall.Probed); got.Status != want {
+		if got := f.events[0].(bellwood.Probed); got.Status != want {
 			t.Errorf("%q: %+v", text, got)
 		}
 	}
@@ -440,10 +440,10 @@
 	p := accept(t, ln) // it is up, but the loop has not heard of it
 	a.begin = f.now()
 	pump(t, f, func() bool { return a.ended })
-	wantOutcome(t, f, snowhall.Moot)
+	wantOutcome(t, f, bellwood.Moot)
 	p.wantsEnd()
 	f.events = nil
-	f.send(a.r, snowhall.Send{ID: a.r.id, Backend: "s-0", Before: 5})
+	f.send(a.r, bellwood.Send{ID: a.r.id, Backend: "s-0", Before: 5})
 	if got := a.r.attempts[1].begin; got != 5 {
 		t.Errorf("it may begin until %v", got)
 	}
@@ -458,7 +458,7 @@
 		a, p := inUse(t, f, ln)
 		p.write("*3\r\n" + bulk("x") + bulk(figures) + "$-1\r\n")
 		pump(t, f, func() bool { return a.ended })
-		if got := outcomes(f); len(got) != 1 || got[0].Status != snowhall.OK || got[0].Units != want {
+		if got := outcomes(f); len(got) != 1 || got[0].Status != bellwood.OK || got[0].Units != want {
 			t.Errorf("%q: %+v", figures, got)
 		}
 	}
--- a/internal/front/closing_test.go
+++ b/internal/front/closing_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"snowhall"
+	"bellwood"
 )
 
 // pair is a connection of which the front door's end is not read by anybody yet.
@@ -155,7 +155,7 @@
 	pump(t, f, func() bool { return len(f.requests) == 1 })
 	f.events = nil
 	for _, r := range f.requests {
-		f.send(r, snowhall.Send{ID: r.id, Backend: "s-0"})
+		f.send(r, bellwood.Send{ID: r.id, Backend: "s-0"})
 	}
 	b := accept(t, ln)
 	pump(t, f, func() bool { return f.backends.dialled("s-0") })
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -11,8 +11,8 @@
 	"strings"
 	"time"
 
-	"snowhall"
-	"snowhall/internal/wire"
+	"bellwood"
+	"bellwood/internal/wire"
 )
 
 // Config is what a front door is told at its start.
@@ -24,7 +24,7 @@
 	Seed      uint64
 	MemoryMB  int
 	Sockets   int
-	Settings  snowhall.Settings
+	Settings  bellwood.Settings
 	Transport wire.Transport
 	Known     Members // the list of backends as last had, maybe old
 	Audit     *Audit  // nil: off
--- a/internal/front/counter_test.go
+++ b/internal/front/counter_test.go
@@ -6,18 +6,18 @@
 	"testing"
 	"time"
 
-	"snowhall"
+	"bellwood"
 )
 
 // count makes a call and returns nothing: the answer comes as an event.
 func count(f *Front, name uint64, amount float64) {
-	f.act(snowhall.Count{Name: name, Amount: amount, Keep: 4 * time.Second})
+	f.act(bellwood.Count{Name: name, Amount: amount, Keep: 4 * time.Second})
 }
 
 // counted returns the answers told so far.
-func counted(f *Front) (all []snowhall.Counted) {
+func counted(f *Front) (all []bellwood.Counted) {
 	for _, ev := range f.events {
-		if c, ok := ev.(snowhall.Counted); ok {
+		if c, ok := ev.(bellwood.Counted); ok {
 			all = append(all, c)
 		}
 	}
@@ -37,7 +37,7 @@
 	pump(t, f, func() bool { return f.counter.lines[0].nc != nil })
 	p.reads("add 8 -2.5 4000\r\n")
 	giveUpCalls(f)
-	if got := counted(f); len(got) != 1 || got[0].Status != snowhall.Timeout {
+	if got := counted(f); len(got) != 1 || got[0].Status != bellwood.Timeout {
 		t.Fatalf("a written call without an answer: %+v", got)
 	}
 	f.events = nil
@@ -47,8 +47,8 @@
 	p.reads("add 4 1 4000\r\nadd 12 1 4000\r\nadd 16 1 4000\r\n")
 	p.write("ok 1\r\nok 22.5\r\nbusy\r\nerror\r\n")
 	pump(t, f, func() bool { return len(counted(f)) == 3 })
-	want := []snowhall.Counted{{Name: 4, Status: snowhall.OK, Total: 22.5}, {Name: 12, Status: snowhall.Full},
-		{Name: 16, Status: snowhall.Full}}
+	want := []bellwood.Counted{{Name: 4, Status: bellwood.OK, Total: 22.5}, {Name: 12, Status: bellwood.Full},
+		{Name: 16, Status: bellwood.Full}}
 	if got := counted(f); fmt.Sprint(got) != fmt.Sprint(want) {
 		t.Errorf("got %+v", got)
 	}
@@ -75,7 +75,7 @@
 	count(f, 8, 1)
 	p := accept(t, ln) // the connection is up, but the loop has not heard of it
 	giveUpCalls(f)
-	if got := counted(f); len(got) != 1 || got[0].Status != snowhall.ConnectFailed {
+	if got := counted(f); len(got) != 1 || got[0].Status != bellwood.ConnectFailed {
 		t.Fatalf("got %+v", got)
 	}
 	pump(t, f, func() bool { return f.counter.lines[0].nc != nil })
@@ -99,7 +99,7 @@
 			p.nc.Close()
 		}
 		pump(t, f, func() bool { return len(counted(f)) > 0 })
-		if got := counted(f); len(got) != 1 || got[0].Status != snowhall.Timeout {
+		if got := counted(f); len(got) != 1 || got[0].Status != bellwood.Timeout {
 			t.Errorf("%.20q: %+v", odd, got)
 		}
 	}
@@ -107,7 +107,7 @@
 	f.events = nil
 	count(f, 8, 1)
 	pump(t, f, func() bool { return len(counted(f)) > 0 })
-	if got := counted(f); len(got) != 1 || got[0].Status != snowhall.ConnectFailed {
+	if got := counted(f); len(got) != 1 || got[0].Status != bellwood.ConnectFailed {
 		t.Errorf("refused: %+v", got)
 	}
 }
--- a/internal/front/discovery.go
+++ b/internal/front/discovery.go
@@ -9,8 +9,8 @@
 	"net/http"
 	"time"
 
-	"snowhall"
-	"snowhall/internal/audit"
+	"bellwood"
+	"bellwood/internal/audit"
 )
 
 const (
@@ -41,8 +41,8 @@
 	SinceMS int64 `json:"since_ms"`
 }
 
-var statuses = map[string]snowhall.State{"SERVING": snowhall.InService, "DRAINING": snowhall.Terminating,
-	"DELETED": snowhall.Terminated}
+var statuses = map[string]bellwood.State{"SERVING": bellwood.InService, "DRAINING": bellwood.Terminating,
+	"DELETED": bellwood.Terminated}
 
 // discovery follows the list of backends. The loop owns it; the goroutines that read are given an address.
 type discovery struct {
@@ -157,7 +157,7 @@
 func (d *discovery) askForDoor() {
 	d.ask(func(_ Members, err error) {
 		if err != nil {
-			d.f.tell(snowhall.List{Scope: snowhall.ListFailed})
+			d.f.tell(bellwood.List{Scope: bellwood.ListFailed})
 		}
 	})
 }
--- a/internal/front/gone_test.go
+++ b/internal/front/gone_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"snowhall"
+	"bellwood"
 )
 
 // ended waits until the end of a connection has come to this side, whatever lies before it.
@@ -45,7 +45,7 @@
 // A client has left once the end of its connection has come, though its reader has not read so far: no attempt
 // begins for it, on whatever way, and all that it has asked ends.
 func TestEndThatIsNotYetReadStopsTheSend(t *testing.T) {
-	send := func(f *Front, r *request) { f.send(r, snowhall.Send{ID: r.id, Backend: "s-0"}) }
+	send := func(f *Front, r *request) { f.send(r, bellwood.Send{ID: r.id, Backend: "s-0"}) }
 	ways := map[string]func(t *testing.T, f *Front, r *request, b func() *peer, leave func()) *peer{
 		"new connection": func(t *testing.T, f *Front, r *request, b func() *peer, leave func()) *peer {
 			leave()
@@ -114,7 +114,7 @@
 						t.Fatal("it is sent on")
 					}
 					told := outcomes(f)
-					if last := told[len(told)-1]; last.Status != snowhall.Moot || !last.Closed {
+					if last := told[len(told)-1]; last.Status != bellwood.Moot || !last.Closed {
 						t.Errorf("outcomes %+v", told)
 					}
 					if b != nil && name != "pending dial" && !quiet(b.nc) {
@@ -157,13 +157,13 @@
 			ended(t, c)
 			f.events = nil
 			for _, r := range f.requests {
-				f.send(r, snowhall.Send{ID: r.id, Backend: "s-0"})
+				f.send(r, bellwood.Send{ID: r.id, Backend: "s-0"})
 				break
 			}
 			if len(outcomes(f)) == 0 {
 				t.Fatal("it is sent on")
 			}
-			wantOutcome(t, f, snowhall.Moot)
+			wantOutcome(t, f, bellwood.Moot)
 			pump(t, f, func() bool { return len(f.requests) == 0 && len(f.clients.all) == 0 })
 			if held := f.clients.memory.held.Load(); held != 0 || f.backends.count != 0 {
 				t.Errorf("%d bytes and %d connections are kept", held, f.backends.count)
@@ -411,14 +411,14 @@
 	pump(t, f, func() bool { return len(f.requests) == 1 })
 	f.events = nil
 	for _, r := range f.requests {
-		f.send(r, snowhall.Send{ID: r.id, Backend: "s-0"})
+		f.send(r, bellwood.Send{ID: r.id, Backend: "s-0"})
 	}
 	if conn.attempt == nil || conn.sent.Load() != sending {
 		t.Fatal("the command is not half written")
 	}
 	p.nc.Close()
 	pump(t, f, func() bool { return len(f.requests) == 0 })
-	wantOutcome(t, f, snowhall.Cancelled)
+	wantOutcome(t, f, bellwood.Cancelled)
 	if !conn.closed || f.backends.count != 0 {
 		t.Error("the connection stays open")
 	}
--- a/internal/front/list_test.go
+++ b/internal/front/list_test.go
@@ -17,7 +17,7 @@
 	"testing"
 	"time"
 
-	"snowhall"
+	"bellwood"
 )
 
 // fleetSize is the largest fleet to carry, in backends.
@@ -76,7 +76,7 @@
 
 // says lets a front door that is not running read what an agent says, and plays its loop. It returns what each task
 // told the Door, the index that the watch came to, and how it ended.
-func says(t testing.TB, f *Front, text string, counts func() bool) (told [][]snowhall.Backend, err error) {
+func says(t testing.TB, f *Front, text string, counts func() bool) (told [][]bellwood.Backend, err error) {
 	t.Helper()
 	d := f.discovery
 	dead := time.AfterFunc(patient, func() {})
@@ -103,7 +103,7 @@
 				t.Errorf("%d events of one task", len(f.events))
 			}
 			for _, ev := range f.events {
-				told = append(told, ev.(snowhall.List).Entries)
+				told = append(told, ev.(bellwood.List).Entries)
 			}
 			f.events = nil
 		case err := <-ended:
@@ -118,7 +118,7 @@
 }
 
 // sizes are the numbers of entries in each part.
-func sizes(told [][]snowhall.Backend) (n []int) {
+func sizes(told [][]bellwood.Backend) (n []int) {
 	for _, part := range told {
 		n = append(n, len(part))
 	}
@@ -168,8 +168,8 @@
 	m.Endpoints[3].Weight = 2
 	m.Endpoints = m.Endpoints[:5]
 	told, _ := says(t, f, text(t, m), nil)
-	want := []snowhall.State{snowhall.Terminating, snowhall.InService, snowhall.InService, snowhall.InService, snowhall.Terminated}
-	var got []snowhall.State
+	want := []bellwood.State{bellwood.Terminating, bellwood.InService, bellwood.InService, bellwood.InService, bellwood.Terminated}
+	var got []bellwood.State
 	for _, b := range told[0] {
 		got = append(got, b.State)
 	}
@@ -295,7 +295,7 @@
 	if from != "0" {
 		t.Errorf("the moved watch asks from %s", from)
 	}
-	if d := f.discovery; d.index != 0 || len(d.all) == fleetSize+1 || d.known["s-0"].b.State != snowhall.InService {
+	if d := f.discovery; d.index != 0 || len(d.all) == fleetSize+1 || d.known["s-0"].b.State != bellwood.InService {
 		t.Errorf("the old watch's list was taken: index %d, %d known, %v", d.index, len(d.all), d.known["s-0"].b.State)
 	}
 	go fmt.Fprintf(watch.nc, "%x\r\n%s\r\n", len(list), list)
@@ -313,7 +313,7 @@
 		watch.chunk(text(t, m))
 	}()
 	pump(t, f, func() bool { return f.discovery.index == 8 })
-	if ev := f.events; since != "7" || len(ev) != 1 || len(ev[0].(snowhall.List).Entries) != 1 {
+	if ev := f.events; since != "7" || len(ev) != 1 || len(ev[0].(bellwood.List).Entries) != 1 {
 		t.Errorf("asked from %s, told %d events", since, len(ev))
 	}
 }
@@ -333,8 +333,8 @@
 	list := text(t, m)
 	watch.chunk(list[:strings.Index(list, m.Endpoints[300+2*partSize].Name)]) // and then nothing
 	pump(t, f, func() bool { return len(f.events) > 0 })
-	if told := f.events[0].(snowhall.List).Entries; len(told) != 1 || told[0].Name != drains.Name ||
-		told[0].State != snowhall.Terminating || f.backends.all[drains.Name] != nil || f.discovery.index != 2 {
+	if told := f.events[0].(bellwood.List).Entries; len(told) != 1 || told[0].Name != drains.Name ||
+		told[0].State != bellwood.Terminating || f.backends.all[drains.Name] != nil || f.discovery.index != 2 {
 		t.Errorf("told %+v, index %d", told, f.discovery.index)
 	}
 }
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -1,5 +1,5 @@
 // Package front is the real front door round the decision module: it carries events from sockets to a
-// snowhall.Door and the Door's actions back to sockets. It decides nothing itself.
+// bellwood.Door and the Door's actions back to sockets. It decides nothing itself.
 package front
 
 import (
@@ -11,8 +11,8 @@
 	"sync/atomic"
 	"time"
 
-	"snowhall"
-	"snowhall/internal/timerqueue"
+	"bellwood"
+	"bellwood/internal/timerqueue"
 )
 
 const (
@@ -28,11 +28,11 @@
 type Front struct {
 	cfg    *Config
 	log    *slog.Logger
-	door   *snowhall.Door
+	door   *bellwood.Door
 	begun  time.Time
 	tasks  chan func()
 	done   chan struct{}
-	events []snowhall.Event // for the next Step
+	events []bellwood.Event // for the next Step
 	ready  atomic.Bool      // a backend in service has been known, so requests can be served
 	timers timerqueue.Queue
 
@@ -63,7 +63,7 @@
 
 // New makes a front door. It takes no connection before Run.
 func New(cfg *Config, log *slog.Logger) (*Front, error) {
-	door, err := snowhall.New(cfg.Settings, cfg.Seed)
+	door, err := bellwood.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -94,13 +94,13 @@
 }
 
 // tell keeps an event for the next Step.
-func (f *Front) tell(ev snowhall.Event) { f.events = append(f.events, ev) }
+func (f *Front) tell(ev bellwood.Event) { f.events = append(f.events, ev) }
 
 // Run serves what connects to the listener until the context ends, then answers what was taken and returns.
 func (f *Front) Run(ctx context.Context, ln net.Listener) {
 	defer close(f.done)
 	defer ln.Close()
-	f.take(f.cfg.Known, snowhall.Cached)
+	f.take(f.cfg.Known, bellwood.Cached)
 	f.audit.start()
 	f.step() // from here on it is able to serve
 	f.discovery.follow(f.discovery.addr)
@@ -199,7 +199,7 @@
 // abandon answers a request that the module has not answered.
 func (f *Front) abandon(r *request) {
 	f.leave(r)
-	f.tell(snowhall.Gone{ID: r.id})
+	f.tell(bellwood.Gone{ID: r.id})
 	r.ask.conn.answer(r.ask.slot, []byte("-ERR no answer in time\r\n"))
 }
 
@@ -235,9 +235,9 @@
 
 // arrive tells new requests the time that is left by the clock of the Step that takes them: the loop may have
 // been busy since they arrived, and the Door's own deadline must not be later than the client's.
-func (f *Front) arrive(events []snowhall.Event, now time.Duration) {
+func (f *Front) arrive(events []bellwood.Event, now time.Duration) {
 	for i, event := range events {
-		arrival, ok := event.(snowhall.Request)
+		arrival, ok := event.(bellwood.Request)
 		if !ok {
 			continue
 		}
@@ -249,29 +249,29 @@
 	}
 }
 
-func (f *Front) act(a snowhall.Action) {
+func (f *Front) act(a bellwood.Action) {
 	switch a := a.(type) {
-	case snowhall.Send:
+	case bellwood.Send:
 		if r := f.requests[a.ID]; r != nil {
 			f.send(r, a)
 		}
-	case snowhall.Cancel:
+	case bellwood.Cancel:
 		if r := f.requests[a.ID]; r != nil && a.Attempt < len(r.attempts) {
 			f.backends.cancel(r.attempts[a.Attempt])
 		}
-	case snowhall.Refuse:
+	case bellwood.Refuse:
 		f.answer(f.requests[a.ID], busyAnswer(a.Pause))
-	case snowhall.Fail:
+	case bellwood.Fail:
 		f.answer(f.requests[a.ID], []byte("-ERR failed\r\n"))
-	case snowhall.Probe:
+	case bellwood.Probe:
 		f.backends.probe(a.Backend)
-	case snowhall.Count:
+	case bellwood.Count:
 		f.counter.count(a)
-	case snowhall.SetTimer:
-		f.timers.Add(a.At, func() { f.tell(snowhall.Timer{Cookie: a.Cookie}) })
-	case snowhall.Watch, snowhall.Fetch:
+	case bellwood.SetTimer:
+		f.timers.Add(a.At, func() { f.tell(bellwood.Timer{Cookie: a.Cookie}) })
+	case bellwood.Watch, bellwood.Fetch:
 		f.discovery.askForDoor()
-	case snowhall.Log:
+	case bellwood.Log:
 		f.log.Info(a.Text)
 	}
 }
@@ -304,7 +304,7 @@
 	// The module answers in time by its own timers. Should it not, the client still hears back in time. Where the loop
 	// is late, both timers run at once: the module has its Step first.
 	r.overdue = f.timers.Add(r.due, func() { f.overdue = append(f.overdue, r) })
-	f.tell(snowhall.Request{ID: r.id, Class: a.class, Plan: a.plan, Customer: a.customer,
+	f.tell(bellwood.Request{ID: r.id, Class: a.class, Plan: a.plan, Customer: a.customer,
 		Units: a.units, Doors: a.spread, Retry: a.retry}) // Left: see arrive
 }
 
@@ -312,7 +312,7 @@
 func (f *Front) gone(a *ask) {
 	if r := f.requests[a.id]; r != nil && !r.ended {
 		f.leave(r)
-		f.tell(snowhall.Gone{ID: r.id})
+		f.tell(bellwood.Gone{ID: r.id})
 	}
 }
 
@@ -343,7 +343,7 @@
 }
 
 // send starts an attempt.
-func (f *Front) send(r *request, s snowhall.Send) {
+func (f *Front) send(r *request, s bellwood.Send) {
 	now := f.now()
 	a := &attempt{r: r, no: len(r.attempts), backend: s.Backend, at: now, until: r.due, begin: s.Before}
 	if s.Timeout > 0 {
@@ -352,7 +352,7 @@
 	r.attempts = append(r.attempts, a)
 	r.open++
 	if r.ended || a.until <= now || r.open > 1 && !f.cfg.Settings.SecondCopies || f.audit.stoodStill(now) {
-		f.ended(a, snowhall.Moot, 0, 0)
+		f.ended(a, bellwood.Moot, 0, 0)
 		return
 	}
 	f.audit.attempted()
@@ -360,14 +360,14 @@
 }
 
 // ended gives the one outcome of an attempt.
-func (f *Front) ended(a *attempt, status snowhall.Status, used int, units float64) {
+func (f *Front) ended(a *attempt, status bellwood.Status, used int, units float64) {
 	if a.ended {
 		return
 	}
 	a.ended = true
 	f.timers.Stop(a.timeout)
 	a.r.open--
-	f.tell(snowhall.Outcome{ID: a.r.id, Attempt: a.no, Backend: a.backend, Status: status,
+	f.tell(bellwood.Outcome{ID: a.r.id, Attempt: a.no, Backend: a.backend, Status: status,
 		Latency: f.now() - a.at, Closed: a.r.ended, Used: used, Units: units})
 	f.forget(a.r)
 }
--- a/internal/front/loop_test.go
+++ b/internal/front/loop_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"snowhall"
+	"bellwood"
 )
 
 // All front doors name the counter's numbers by the time, so theirs must be the same clock.
@@ -30,11 +30,11 @@
 	for _, r := range f.overdue { // as answerOverdue does, without its Step
 		f.abandon(r)
 	}
-	wantOutcome(t, f, snowhall.ConnectFailed) // the loop has not heard of the connection
+	wantOutcome(t, f, bellwood.ConnectFailed) // the loop has not heard of the connection
 	if !a.r.ended || len(f.requests) != 0 {
 		t.Error("the request goes on")
 	}
-	if _, ok := f.events[len(f.events)-1].(snowhall.Gone); !ok {
+	if _, ok := f.events[len(f.events)-1].(bellwood.Gone); !ok {
 		t.Errorf("events %+v", f.events)
 	}
 }
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -12,7 +12,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"snowhall"
+	"bellwood"
 )
 
 // lateAsk is how much longer than its class's time a client may say that it waits.
@@ -133,9 +133,9 @@
 		return nil, errors.New("ill-formed or unknown d")
 	}
 	switch effect := class.Effect; {
-	case (effect == snowhall.Safe) != (name == "Q.ASK"):
+	case (effect == bellwood.Safe) != (name == "Q.ASK"):
 		return nil, fmt.Errorf("class not served by %s", name)
-	case effect == snowhall.Keyed && !key:
+	case effect == bellwood.Keyed && !key:
 		return nil, errors.New("k is missing")
 	}
 	return a, nil
--- a/internal/mixed/audit_test.go
+++ b/internal/mixed/audit_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"snowhall/internal/standin"
+	"bellwood/internal/standin"
 )
 
 // Tests of the audit with several processes of the program and faults between them. Each plays its own fleet; they run
--- a/internal/mixed/hollow.go
+++ b/internal/mixed/hollow.go
@@ -8,9 +8,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"snowhall"
-	"snowhall/internal/standin"
-	"snowhall/internal/timerqueue"
+	"bellwood"
+	"bellwood/internal/standin"
+	"bellwood/internal/timerqueue"
 )
 
 const (
@@ -24,12 +24,12 @@
 // the real doors. Its goroutine owns it, but for what is atomic.
 type hollow struct {
 	w        *world
-	door     *snowhall.Door
+	door     *bellwood.Door
 	traffic  *standin.Traffic
 	rank     int
 	index    int64 // of the list as this door has it
 	listed   []bool
-	events   []snowhall.Event
+	events   []bellwood.Event
 	timers   timerqueue.Queue
 	requests map[uint64]*hollowRequest
 	lastID   uint64
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	door, err := snowhall.New(set, w.o.Seed+uint64(rank))
+	door, err := bellwood.New(set, w.o.Seed+uint64(rank))
 	if err != nil {
 		return nil, err
 	}
@@ -82,7 +82,7 @@
 func (h *hollow) run(ctx context.Context, begin, halt <-chan struct{}) {
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
-	h.take(h.w.catalog.Whole(), snowhall.Cached)
+	h.take(h.w.catalog.Whole(), bellwood.Cached)
 	_, wake := h.w.catalog.Since(h.index)
 	for {
 		if !h.step(ctx) {
@@ -104,9 +104,9 @@
 		case <-wake:
 			var m standin.Members
 			if m, wake = h.w.catalog.Since(h.index); m.Snapshot {
-				h.take(m, snowhall.Whole)
+				h.take(m, bellwood.Whole)
 			} else if len(m.Endpoints) > 0 {
-				h.take(m, snowhall.Delta)
+				h.take(m, bellwood.Delta)
 			}
 		case <-alarm.C:
 		}
@@ -144,59 +144,59 @@
 	return ctx.Err() == nil
 }
 
-func (h *hollow) tell(ev snowhall.Event) { h.events = append(h.events, ev) }
+func (h *hollow) tell(ev bellwood.Event) { h.events = append(h.events, ev) }
 
-func (h *hollow) act(a snowhall.Action) {
+func (h *hollow) act(a bellwood.Action) {
 	switch a := a.(type) {
-	case snowhall.Send:
+	case bellwood.Send:
 		if r := h.requests[a.ID]; r != nil {
 			h.send(r, a)
 		}
-	case snowhall.Cancel:
+	case bellwood.Cancel:
 		if r := h.requests[a.ID]; r != nil && a.Attempt < len(r.attempts) {
-			h.end(r.attempts[a.Attempt], snowhall.Cancelled)
+			h.end(r.attempts[a.Attempt], bellwood.Cancelled)
 		}
-	case snowhall.Refuse:
+	case bellwood.Refuse:
 		h.answer(h.requests[a.ID], standin.Refused)
-	case snowhall.Fail:
+	case bellwood.Fail:
 		h.answer(h.requests[a.ID], standin.Failed)
-	case snowhall.Probe:
-		h.after(refusedHop, func() { h.tell(snowhall.Probed{Backend: a.Backend, Status: snowhall.OK}) })
-	case snowhall.Count:
+	case bellwood.Probe:
+		h.after(refusedHop, func() { h.tell(bellwood.Probed{Backend: a.Backend, Status: bellwood.OK}) })
+	case bellwood.Count:
 		total, ok := h.w.numbers.Add(time.Now(), counterName(a.Name), a.Amount, a.Keep)
-		ev := snowhall.Counted{Name: a.Name, Status: snowhall.Full}
+		ev := bellwood.Counted{Name: a.Name, Status: bellwood.Full}
 		if ok {
-			ev = snowhall.Counted{Name: a.Name, Status: snowhall.OK, Total: total}
+			ev = bellwood.Counted{Name: a.Name, Status: bellwood.OK, Total: total}
 		}
 		h.after(counterHop, func() { h.tell(ev) })
-	case snowhall.SetTimer:
-		h.timers.Add(a.At, func() { h.tell(snowhall.Timer{Cookie: a.Cookie}) })
-	case snowhall.Fetch:
-		h.after(refusedHop, func() { h.take(h.w.catalog.Whole(), snowhall.Whole) })
+	case bellwood.SetTimer:
+		h.timers.Add(a.At, func() { h.tell(bellwood.Timer{Cookie: a.Cookie}) })
+	case bellwood.Fetch:
+		h.after(refusedHop, func() { h.take(h.w.catalog.Whole(), bellwood.Whole) })
 	}
 }
 
 func (h *hollow) after(pause time.Duration, do func()) { h.timers.Add(h.w.now()+pause, do) }
 
 // take hands a list or its changes on.
-func (h *hollow) take(m standin.Members, scope snowhall.Scope) {
+func (h *hollow) take(m standin.Members, scope bellwood.Scope) {
 	h.index = m.Index
-	if scope != snowhall.Delta {
+	if scope != bellwood.Delta {
 		clear(h.listed)
 	}
-	list := snowhall.List{Scope: scope, Entries: make([]snowhall.Backend, 0, len(m.Endpoints))}
+	list := bellwood.List{Scope: scope, Entries: make([]bellwood.Backend, 0, len(m.Endpoints))}
 	for _, e := range m.Endpoints {
 		i := h.w.spot[e.Name]
 		state := states[e.Status]
-		h.listed[i] = state == snowhall.InService
-		list.Entries = append(list.Entries, snowhall.Backend{Name: e.Name, Zone: i % h.w.o.Zones, Cell: e.Group,
+		h.listed[i] = state == bellwood.InService
+		list.Entries = append(list.Entries, bellwood.Backend{Name: e.Name, Zone: i % h.w.o.Zones, Cell: e.Group,
 			State: state, Weight: e.Weight, Started: time.Duration(e.SinceMS) * time.Millisecond})
 	}
 	h.tell(list)
 }
 
-var states = map[string]snowhall.State{standin.Serving: snowhall.InService, standin.Draining: snowhall.Terminating,
-	standin.Deleted: snowhall.Terminated}
+var states = map[string]bellwood.State{standin.Serving: bellwood.InService, standin.Draining: bellwood.Terminating,
+	standin.Deleted: bellwood.Terminated}
 
 // arrive takes the requests in that are due, and plans for the next.
 func (h *hollow) arrive() {
@@ -236,14 +236,14 @@
 	r.overdue = h.timers.Add(r.due, func() {
 		h.abandoned.Add(1)
 		h.leave(r, standin.Failed)
-		h.tell(snowhall.Gone{ID: r.id})
+		h.tell(bellwood.Gone{ID: r.id})
 	})
-	h.tell(snowhall.Request{ID: r.id, Class: q.Class, Plan: q.Plan, Customer: q.Customer, Left: q.Wait, Units: 1,
+	h.tell(bellwood.Request{ID: r.id, Class: q.Class, Plan: q.Plan, Customer: q.Customer, Left: q.Wait, Units: 1,
 		Doors: q.Spread})
 }
 
 // send starts an attempt, with the same conditions as a real door's.
-func (h *hollow) send(r *hollowRequest, s snowhall.Send) {
+func (h *hollow) send(r *hollowRequest, s bellwood.Send) {
 	wall, now := time.Now(), h.w.now()
 	a := &hollowAttempt{r: r, no: len(r.attempts), backend: s.Backend, at: now}
 	until := r.due
@@ -254,13 +254,13 @@
 	r.open++
 	i, known := h.w.spot[s.Backend]
 	if r.ended || until <= now || r.open > 1 || s.Before > 0 && now >= s.Before || !known || !h.listed[i] {
-		h.end(a, snowhall.Moot)
+		h.end(a, bellwood.Moot)
 		return
 	}
 	h.w.reached(i, h.rank, wall)
 	done, ok := h.w.model.Begin(i, wall)
 	if !ok {
-		a.result = h.timers.Add(now+refusedHop, func() { h.end(a, snowhall.Full) })
+		a.result = h.timers.Add(now+refusedHop, func() { h.end(a, bellwood.Full) })
 		return
 	}
 	h.w.ledger.Ran(r.q.ID)
@@ -268,22 +268,22 @@
 		a.result = h.timers.Add(now+took, func() {
 			h.w.ledger.Took(r.q.ID, took)
 			h.answer(r, standin.Served)
-			h.end(a, snowhall.OK)
+			h.end(a, bellwood.OK)
 		})
 		return
 	}
-	a.result = h.timers.Add(until, func() { h.end(a, snowhall.Timeout) })
+	a.result = h.timers.Add(until, func() { h.end(a, bellwood.Timeout) })
 }
 
 // end gives the one outcome of an attempt.
-func (h *hollow) end(a *hollowAttempt, status snowhall.Status) {
+func (h *hollow) end(a *hollowAttempt, status bellwood.Status) {
 	if a.ended {
 		return
 	}
 	a.ended = true
 	h.timers.Stop(a.result)
 	a.r.open--
-	h.tell(snowhall.Outcome{ID: a.r.id, Attempt: a.no, Backend: a.backend, Status: status,
+	h.tell(bellwood.Outcome{ID: a.r.id, Attempt: a.no, Backend: a.backend, Status: status,
 		Latency: h.w.now() - a.at, Closed: a.r.ended})
 	h.forget(a.r)
 }
@@ -303,7 +303,7 @@
 	h.w.ledger.Ended(r.q, how)
 	if how != standin.Served {
 		for _, a := range r.attempts {
-			h.end(a, snowhall.Cancelled)
+			h.end(a, bellwood.Cancelled)
 		}
 	}
 	h.forget(r)
--- a/internal/mixed/mixed.go
+++ b/internal/mixed/mixed.go
@@ -15,7 +15,7 @@
 	"strings"
 	"time"
 
-	"snowhall/internal/standin"
+	"bellwood/internal/standin"
 )
 
 // Options say what to run. Each figure that is 0 stands for its default.
--- a/internal/mixed/mixed_test.go
+++ b/internal/mixed/mixed_test.go
@@ -18,8 +18,8 @@
 	"testing"
 	"time"
 
-	"snowhall/internal/front"
-	"snowhall/internal/standin"
+	"bellwood/internal/front"
+	"bellwood/internal/standin"
 )
 
 const patient = 20 * time.Second // bounds the waits; none is expected to take a noticeable part of it
@@ -38,7 +38,7 @@
 	if err := os.WriteFile(filepath.Join(root, "deploy", "balancer.toml"), text, 0o600); err != nil {
 		return root, err
 	}
-	if out, err := exec.Command("go", "build", "-o", filepath.Join(root, "bin")+"/", "snowhall/cmd/gapgap").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", filepath.Join(root, "bin")+"/", "bellwood/cmd/bellwood").CombinedOutput(); err != nil {
 		return root, fmt.Errorf("%w: %s", err, out)
 	}
 	return root, nil
--- a/internal/mixed/run.go
+++ b/internal/mixed/run.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"snowhall/internal/standin"
+	"bellwood/internal/standin"
 )
 
 // run goes through the phases: start, load, drains, end of the load, restarts, end. It returns an error only where the
--- a/internal/mixed/settings.go
+++ b/internal/mixed/settings.go
@@ -9,9 +9,9 @@
 	"strings"
 	"time"
 
-	"snowhall"
-	"snowhall/internal/standin"
-	"snowhall/internal/wire"
+	"bellwood"
+	"bellwood/internal/standin"
+	"bellwood/internal/wire"
 )
 
 // pathSettings are settings by their paths on the simulator's wire. Real doors read them nested, as JSON, and hollow
@@ -89,10 +89,10 @@
 }
 
 // module returns the settings as hollow doors use them.
-func (p pathSettings) module() (snowhall.Settings, error) {
+func (p pathSettings) module() (bellwood.Settings, error) {
 	m := p.texts()
 	if _, err := wire.ReadTransport(m); err != nil {
-		return snowhall.Settings{}, err
+		return bellwood.Settings{}, err
 	}
 	return wire.Settings(m)
 }
--- a/internal/mixed/world.go
+++ b/internal/mixed/world.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"snowhall/internal/standin"
+	"bellwood/internal/standin"
 )
 
 const (
--- a/internal/scale/audit.go
+++ b/internal/scale/audit.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"time"
 
-	"snowhall/internal/audit"
+	"bellwood/internal/audit"
 )
 
 const (
--- a/internal/scale/costs.go
+++ b/internal/scale/costs.go
@@ -6,7 +6,7 @@
 	"runtime"
 	"time"
 
-	"snowhall"
+	"bellwood"
 )
 
 const (
@@ -91,18 +91,18 @@
 	return nil
 }
 
-func timeDoor(ctx context.Context, o *Options, c *costs, size Size, pop *population, entries []snowhall.Backend,
+func timeDoor(ctx context.Context, o *Options, c *costs, size Size, pop *population, entries []bellwood.Backend,
 	rank int) error {
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	m := newMeter()
 	var again rounds
 	first, err := repeat(ctx, o.Budget, func() (float64, error) {
-		d, err := snowhall.New(Settings(size.Doors, rank, pop.mean), o.Seed)
+		d, err := bellwood.New(Settings(size.Doors, rank, pop.mean), o.Seed)
 		if err != nil {
 			return 0, err
 		}
-		whole := []snowhall.Event{snowhall.List{Scope: snowhall.Whole, Entries: entries}}
+		whole := []bellwood.Event{bellwood.List{Scope: bellwood.Whole, Entries: entries}}
 		m.time(kList, func() { d.Step(0, whole) })
 		t := m.last
 		m.time(kList, func() { d.Step(time.Second, whole) })
@@ -152,13 +152,13 @@
 }
 
 // timeChanges times changes of one entry: of backends that the door has sent to, of others, and of new ones.
-func timeChanges(ctx context.Context, o *Options, c *costs, s *sim, entries []snowhall.Backend, used map[string]bool) error {
-	tell := func(b snowhall.Backend) {
-		s.step(0, kList, snowhall.List{Scope: snowhall.Delta, Entries: []snowhall.Backend{b}})
+func timeChanges(ctx context.Context, o *Options, c *costs, s *sim, entries []bellwood.Backend, used map[string]bool) error {
+	tell := func(b bellwood.Backend) {
+		s.step(0, kList, bellwood.List{Scope: bellwood.Delta, Entries: []bellwood.Backend{b}})
 	}
-	drain := func(b snowhall.Backend) { b.State = snowhall.Terminating; tell(b) }
-	restart := func(b snowhall.Backend) { b.Started = s.now; tell(b) }
-	var mine, others []snowhall.Backend
+	drain := func(b bellwood.Backend) { b.State = bellwood.Terminating; tell(b) }
+	restart := func(b bellwood.Backend) { b.Started = s.now; tell(b) }
+	var mine, others []bellwood.Backend
 	for _, b := range entries {
 		if used[b.Name] {
 			mine = append(mine, b)
@@ -166,14 +166,14 @@
 			others = append(others, b)
 		}
 	}
-	fresh := make([]snowhall.Backend, changesMost*roundsMost+1)
+	fresh := make([]bellwood.Backend, changesMost*roundsMost+1)
 	for i := range fresh {
-		fresh[i] = snowhall.Backend{Name: fmt.Sprintf("n-%08x", i+1), Zone: i % zones, Weight: 1}
+		fresh[i] = bellwood.Backend{Name: fmt.Sprintf("n-%08x", i+1), Zone: i % zones, Weight: 1}
 	}
 	for _, v := range []struct {
 		name, how  string
-		of         []snowhall.Backend
-		timed, not func(snowhall.Backend) // what is timed, and what comes after and is not
+		of         []bellwood.Backend
+		timed, not func(bellwood.Backend) // what is timed, and what comes after and is not
 	}{
 		{"drain used", "one of the door's backends drains", mine, drain, tell},
 		{"drain other", "a backend drains that the door has not sent to", others, drain, tell},
--- a/internal/scale/load.go
+++ b/internal/scale/load.go
@@ -7,7 +7,7 @@
 	"sort"
 	"time"
 
-	"snowhall"
+	"bellwood"
 )
 
 const ms = time.Millisecond
@@ -28,28 +28,28 @@
 
 // Settings returns the settings of a door: three classes and three plans. The quotas of the plans are scaled so
 // that customers who ask for mean requests a second on average ask for half of their quotas' sum.
-func Settings(doors, rank int, mean float64) snowhall.Settings {
+func Settings(doors, rank int, mean float64) bellwood.Settings {
 	k := mean / (quotaUse * meanQuota)
-	plan := func(rate, burstSeconds, factor float64) snowhall.Plan {
-		return snowhall.Plan{Rate: rate * k, Burst: max(4, rate*k*burstSeconds), Factor: factor, OverCost: 0.5}
+	plan := func(rate, burstSeconds, factor float64) bellwood.Plan {
+		return bellwood.Plan{Rate: rate * k, Burst: max(4, rate*k*burstSeconds), Factor: factor, OverCost: 0.5}
 	}
 	small, medium, large := plan(quotas[0], 5, 0.7), plan(quotas[1], 4, 1), plan(quotas[2], 2, 2)
 	small.OverCost = 1.2
 	large.AtOnce = int(max(8, large.Rate/4)) // attempts; answers take 60 ms on average
 	large.CeilingRate, large.CeilingDepth = 2*large.Rate, 2*large.Burst
-	return snowhall.Settings{
+	return bellwood.Settings{
 		Doors: doors, Rank: rank, Zone: rank % zones, Resolution: ms,
 		MaxAttempts: 4, MayCancel: true, RetryAfter: true, MaxRetryAfter: time.Second,
 		AnswerSlack: 8 * ms, StopSendingWithin: 250 * ms,
 		FallMultiple: 3, FallWindow: 3 * time.Second, ColdFrom: 0.2, WarmWithin: 18 * time.Second,
 		Counter: true, CounterTimeout: 50 * ms, MaxUnits: 1,
-		Classes: []snowhall.Class{
-			{Worth: 1, LateWorth: 0.1, Aim: 1200 * ms, GiveUp: 5 * time.Second, Effect: snowhall.Safe},
-			{Worth: 5, LateWorth: 0.1, Aim: time.Second, GiveUp: 2500 * ms, Effect: snowhall.Keyed,
-				Group: snowhall.GroupAll, Window: 2500 * ms},
-			{Worth: 2, LateWorth: 0.1, Aim: time.Second, GiveUp: 3 * time.Second, Effect: snowhall.Unsafe},
+		Classes: []bellwood.Class{
+			{Worth: 1, LateWorth: 0.1, Aim: 1200 * ms, GiveUp: 5 * time.Second, Effect: bellwood.Safe},
+			{Worth: 5, LateWorth: 0.1, Aim: time.Second, GiveUp: 2500 * ms, Effect: bellwood.Keyed,
+				Group: bellwood.GroupAll, Window: 2500 * ms},
+			{Worth: 2, LateWorth: 0.1, Aim: time.Second, GiveUp: 3 * time.Second, Effect: bellwood.Unsafe},
 		},
-		Plans: []snowhall.Plan{small, medium, large},
+		Plans: []bellwood.Plan{small, medium, large},
 	}
 }
 
@@ -61,10 +61,10 @@
 )
 
 // list returns n backends of equal weight, dealt out over the zones, all started long ago.
-func list(n int) []snowhall.Backend {
-	all := make([]snowhall.Backend, n)
+func list(n int) []bellwood.Backend {
+	all := make([]bellwood.Backend, n)
 	for i := range all {
-		all[i] = snowhall.Backend{Name: fmt.Sprintf("s-%08x", uint32(i+1)*2654435761), Zone: i % zones,
+		all[i] = bellwood.Backend{Name: fmt.Sprintf("s-%08x", uint32(i+1)*2654435761), Zone: i % zones,
 			Cell: i / 8, Weight: 1}
 	}
 	return all
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"snowhall"
+	"bellwood"
 )
 
 // quick are options with as few timings as may be.
@@ -126,7 +126,7 @@
 		t.Error("a second final answer was taken")
 	}
 	s.err = nil
-	if s.send(0, snowhall.Send{ID: 1, Backend: "s"}); s.err == nil {
+	if s.send(0, bellwood.Send{ID: 1, Backend: "s"}); s.err == nil {
 		t.Error("a send after the final answer was taken")
 	}
 }
--- a/internal/scale/sums.go
+++ b/internal/scale/sums.go
@@ -10,7 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"snowhall"
+	"bellwood"
 )
 
 // stats of counts.
@@ -40,8 +40,8 @@
 	const warm, half, same, less, more, phases = 0, 1, 2, 3, 4, 5
 	pop, entries := o.fleet(size, false), list(size.Backends)
 	leaver := entries[size.Backends/2]
-	leaver.State = snowhall.Terminating
-	comer := snowhall.Backend{Name: "n-00000001", Zone: leaver.Zone, Cell: leaver.Cell, Weight: 1}
+	leaver.State = bellwood.Terminating
+	comer := bellwood.Backend{Name: "n-00000001", Zone: leaver.Zone, Cell: leaver.Cell, Weight: 1}
 	var mu sync.Mutex
 	var all Totals
 	loads, meets, uses := map[string]int{}, map[string]int{}, map[string]int{}
@@ -67,8 +67,8 @@
 		for p, lasts := range []time.Duration{max(warmUp, s.lasts(warmAsks)), stretch / 2, stretch / 2, stretch, stretch} {
 			s.phase = p
 			if p >= less {
-				b := []snowhall.Backend{leaver, comer}[p-less]
-				s.step(0, kList, snowhall.List{Scope: snowhall.Delta, Entries: []snowhall.Backend{b}})
+				b := []bellwood.Backend{leaver, comer}[p-less]
+				s.step(0, kList, bellwood.List{Scope: bellwood.Delta, Entries: []bellwood.Backend{b}})
 			}
 			if err := s.run(ctx, s.now+lasts); err != nil {
 				return err
@@ -162,10 +162,10 @@
 	o.say("cold backend, %v, %s traffic", size, word)
 	pop, entries := o.fleet(size, word == Uneven), list(size.Backends)
 	set := Settings(size.Doors, 0, pop.mean)
-	comer := snowhall.Backend{Name: "n-00000001", Weight: 1, Started: coldFrom}
+	comer := bellwood.Backend{Name: "n-00000001", Weight: 1, Started: coldFrom}
 	drained := list(size.Backends)
 	for i := range drained {
-		drained[i].State = snowhall.Terminating
+		drained[i].State = bellwood.Terminating
 	}
 	var mu sync.Mutex
 	var all Totals
@@ -191,12 +191,12 @@
 		if err := s.run(ctx, coldFrom); err != nil {
 			return err
 		}
-		s.step(0, kList, snowhall.List{Scope: snowhall.Delta, Entries: []snowhall.Backend{comer}})
+		s.step(0, kList, bellwood.List{Scope: bellwood.Delta, Entries: []bellwood.Backend{comer}})
 		if word == Pressed {
 			if err := s.run(ctx, coldFrom+pressAfter); err != nil {
 				return err
 			}
-			s.step(0, kList, snowhall.List{Scope: snowhall.Delta, Entries: drained})
+			s.step(0, kList, bellwood.List{Scope: bellwood.Delta, Entries: drained})
 		}
 		if err := s.run(ctx, coldFrom+set.WarmWithin); err != nil {
 			return err
@@ -242,7 +242,7 @@
 
 // worstWindow finds the window that comes nearest to what is allowed in it: FallMultiple times the capacity at its
 // beginning, for its length, and two standard deviations and two sends more. Times are since the start.
-func worstWindow(sends []time.Duration, set *snowhall.Settings, capacity float64) window {
+func worstWindow(sends []time.Duration, set *bellwood.Settings, capacity float64) window {
 	slices.Sort(sends)
 	worst := window{}
 	end := 0
@@ -283,10 +283,10 @@
 	const warm, before, first, then, phases = 0, 1, 2, 3, 4
 	pop, entries := o.fleet(size, false), list(size.Backends)
 	lost := map[string]bool{}
-	var news []snowhall.Backend
+	var news []bellwood.Backend
 	for i := parts / 2; i < len(entries); i += parts {
 		b := entries[i]
-		b.State = snowhall.Terminated
+		b.State = bellwood.Terminated
 		lost[b.Name], news = true, append(news, b)
 	}
 	var mu sync.Mutex
@@ -316,7 +316,7 @@
 		for p, until := range []time.Duration{zoneWarm, zoneFrom, zoneFrom + zoneFirst, end} {
 			if s.phase = p; p == first {
 				s.lose(lost)
-				s.step(0, kList, snowhall.List{Scope: snowhall.Delta, Entries: news})
+				s.step(0, kList, bellwood.List{Scope: bellwood.Delta, Entries: news})
 			}
 			if err := s.run(ctx, until); err != nil {
 				return err
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"snowhall"
+	"bellwood"
 )
 
 // pairs holds the path=value settings and the first error met in reading them.
@@ -95,20 +95,20 @@
 	return v
 }
 
-var effects = map[string]snowhall.Effect{"safe": snowhall.Safe, "keyed": snowhall.Keyed, "unsafe": snowhall.Unsafe}
+var effects = map[string]bellwood.Effect{"safe": bellwood.Safe, "keyed": bellwood.Keyed, "unsafe": bellwood.Unsafe}
 
-var groups = map[string]snowhall.Group{"all": snowhall.GroupAll, "zone": snowhall.GroupZone,
-	"cell": snowhall.GroupCell, "": snowhall.GroupAll, "none": snowhall.GroupAll, "-": snowhall.GroupAll}
+var groups = map[string]bellwood.Group{"all": bellwood.GroupAll, "zone": bellwood.GroupZone,
+	"cell": bellwood.GroupCell, "": bellwood.GroupAll, "none": bellwood.GroupAll, "-": bellwood.GroupAll}
 
 var discoveries = map[string]bool{"pushed": false, "on_request": true}
 
 // settings reads the path=value pairs of a PROVISION line.
-func settings(parts []string) (snowhall.Settings, error) {
+func settings(parts []string) (bellwood.Settings, error) {
 	m := make(map[string]string, len(parts))
 	for _, s := range parts {
 		k, v, ok := strings.Cut(s, "=")
 		if !ok {
-			return snowhall.Settings{}, fmt.Errorf("setting %.40q is no pair", s)
+			return bellwood.Settings{}, fmt.Errorf("setting %.40q is no pair", s)
 		}
 		m[k] = v
 	}
@@ -116,9 +116,9 @@
 }
 
 // Settings maps settings, by their paths, to those of the module. Unknown paths are passed over.
-func Settings(m map[string]string) (snowhall.Settings, error) {
+func Settings(m map[string]string) (bellwood.Settings, error) {
 	p := &pairs{m: m}
-	set := snowhall.Settings{
+	set := bellwood.Settings{
 		Doors: p.int("peers-total"), Rank: p.int("rank"), Zone: p.int("locality"),
 		Resolution: p.micros("resolution-us"), MaxAttempts: p.int("limits.max-attempts"),
 		SecondCopies: p.bool("limits.second-copies"), MayCancel: p.bool("limits.cancel"),
@@ -147,7 +147,7 @@
 	p.needs(!set.Counter || set.CounterTimeout > 0, "specifics.counter-timeout-us", "specifics.shared-counter")
 	for i := range p.count("classes") {
 		k := fmt.Sprintf("classes.%d.", i)
-		set.Classes = append(set.Classes, snowhall.Class{
+		set.Classes = append(set.Classes, bellwood.Class{
 			Worth: p.float(k + "worth"), LateWorth: p.float(k + "late-worth"), Aim: p.micros(k + "target-us"),
 			GiveUp: p.micros(k + "give-up-us"), Effect: word(p, k+"effect", effects),
 			Group: word(p, k+"group", groups), Window: p.micros(k + "window-us"), Stream: p.bool(k + "stream"),
@@ -158,7 +158,7 @@
 	}
 	for i := range p.count("tiers-of-service") {
 		k := fmt.Sprintf("tiers-of-service.%d.", i)
-		set.Plans = append(set.Plans, snowhall.Plan{
+		set.Plans = append(set.Plans, bellwood.Plan{
 			Rate: p.float(k + "units-per-s"), Burst: p.float(k + "most-at-once"), AtOnce: p.int(k + "at-once"),
 			Factor: p.float(k + "value-factor"), OverWorth: p.float(k + "extra-worth"),
 			OverCost: p.float(k + "over-cost"), CeilingRate: p.float(k + "never-over-rate"),
--- a/internal/wire/settings_test.go
+++ b/internal/wire/settings_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"snowhall"
+	"bellwood"
 )
 
 // usable is the least that a deployment can tell.
@@ -69,13 +69,13 @@
 	m := usable()
 	m["load-info.how"], m["something.new"] = "none", "7"
 	set, err := Settings(m)
-	if err != nil || set.Doors != 3 || set.Rank != 2 || set.Classes[0].Effect != snowhall.Unsafe || len(set.Plans) != 1 {
+	if err != nil || set.Doors != 3 || set.Rank != 2 || set.Classes[0].Effect != bellwood.Unsafe || len(set.Plans) != 1 {
 		t.Errorf("%+v, %v", set, err)
 	}
 	if tr, err := ReadTransport(m); err != nil || tr.Classes[0] != "scan" || tr.Plans[0] != "only" {
 		t.Errorf("%+v, %v", tr, err)
 	}
-	if _, err := snowhall.New(set, 1); err != nil {
+	if _, err := bellwood.New(set, 1); err != nil {
 		t.Error(err)
 	}
 }
--- a/size_test.go
+++ b/size_test.go
@@ -1,4 +1,4 @@
-package snowhall
+package bellwood
 
 import (
 	"fmt"
--- a/state.go
+++ b/state.go
@@ -1,4 +1,4 @@
-package snowhall
+package bellwood
 
 import (
 	"cmp"
@@ -11,7 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"snowhall/internal/subset"
+	"bellwood/internal/subset"
 )
 
 // What a door remembers, and how its queues are kept. Nothing here decides.
@@ -188,27 +188,27 @@
 func New(set Settings, seed uint64) (*Door, error) {
 	switch {
 	case set.Doors < 1:
-		return nil, errors.New("snowhall: Doors is under 1")
+		return nil, errors.New("bellwood: Doors is under 1")
 	case len(set.Classes) == 0:
-		return nil, errors.New("snowhall: Classes is empty")
+		return nil, errors.New("bellwood: Classes is empty")
 	case len(set.Plans) == 0:
-		return nil, errors.New("snowhall: Plans is empty")
+		return nil, errors.New("bellwood: Plans is empty")
 	case set.MaxAttempts < 1:
-		return nil, errors.New("snowhall: MaxAttempts is under 1")
+		return nil, errors.New("bellwood: MaxAttempts is under 1")
 	case set.Resolution < 0 || set.FallWindow < 0 || set.WarmWithin < 0 || set.AskEvery < 0:
-		return nil, errors.New("snowhall: Resolution, FallWindow, WarmWithin or AskEvery is negative")
+		return nil, errors.New("bellwood: Resolution, FallWindow, WarmWithin or AskEvery is negative")
 	case set.FallMultiple < 0 || set.ColdFrom < 0:
-		return nil, errors.New("snowhall: FallMultiple or ColdFrom is negative")
+		return nil, errors.New("bellwood: FallMultiple or ColdFrom is negative")
 	}
 	d := &Door{set: set, rng: rand.New(rand.NewPCG(seed, 1)), servers: map[string]*server{},
 		reqs: map[uint64]*request{}, customers: map[holder]*customer{}, asks: map[uint64][]*call{}}
 	for i, c := range set.Classes {
 		if c.Worth < 0 || c.Aim < 0 || c.GiveUp < 0 || c.Window < 0 {
-			return nil, fmt.Errorf("snowhall: Classes[%d] has a negative value", i)
+			return nil, fmt.Errorf("bellwood: Classes[%d] has a negative value", i)
 		}
 		for j, p := range set.Plans {
 			if p.Rate < 0 || p.Burst < 0 || p.AtOnce < 0 || p.CeilingRate < 0 || p.CeilingDepth < 0 {
-				return nil, fmt.Errorf("snowhall: Plans[%d] has a negative value", j)
+				return nil, fmt.Errorf("bellwood: Plans[%d] has a negative value", j)
 			}
 		}
 	}
