--- a/internal/front/backends_test.go
+++ b/internal/front/backends_test.go
@@ -116,7 +116,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.conn = &client{}
+	a.conn = &clientConn{}
 	f.arrived(a)
 	r := f.requests[a.id]
 	f.events = nil
--- a/internal/front/client.go
+++ b/internal/front/clientconn.go
@@ -38,8 +38,8 @@
 	cost   int64 // taken from the budget until it is answered
 }
 
-// client is one connection of a client.
-type client struct {
+// clientConn is one connection of a client.
+type clientConn struct {
 	cs    *clients
 	nc    net.Conn
 	raw   syscall.RawConn // nil where the connection has none
@@ -65,8 +65,8 @@
 	closed  bool
 }
 
-func newClient(cs *clients, nc net.Conn) *client {
-	c := &client{cs: cs, nc: nc, due: time.Now().Add(firstWithin)}
+func newClientConn(cs *clients, nc net.Conn) *clientConn {
+	c := &clientConn{cs: cs, nc: nc, due: time.Now().Add(firstWithin)}
 	if sc, ok := nc.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
 			c.raw = raw
@@ -79,7 +79,7 @@
 }
 
 // read takes commands until the connection ends.
-func (c *client) read() {
+func (c *clientConn) read() {
 	defer c.end()
 	for {
 		m, err := c.in.next()
@@ -108,7 +108,7 @@
 
 // Read reads from the socket for the respReader. A command has one deadline, however its bytes drip in, and so
 // has a new client's first.
-func (c *client) Read(b []byte) (int, error) {
+func (c *clientConn) Read(b []byte) (int, error) {
 	if c.ahead {
 		return c.receive(b)
 	}
@@ -132,7 +132,7 @@
 // receive reads what has come. It takes the bytes and notes them under the lock, so that nobody who holds it takes
 // the connection for one that stands between two requests. A close waits until nobody is within a read of the socket,
 // and whoever closes holds the lock: so within a read the lock is only tried for, and waited for outside.
-func (c *client) receive(b []byte) (int, error) {
+func (c *clientConn) receive(b []byte) (int, error) {
 	if c.raw == nil {
 		return c.nc.Read(b)
 	}
@@ -168,7 +168,7 @@
 }
 
 // command handles one command and says whether to go on.
-func (c *client) command(m redcon.RESP) bool {
+func (c *clientConn) command(m redcon.RESP) bool {
 	args, ok := arguments(m)
 	if !ok {
 		c.turnAway("-ERR Protocol error: expected an array of bulk strings\r\n")
@@ -210,7 +210,7 @@
 
 // unusable answers a command that can't be used. The next one is read after a pause, as a client that sends the
 // same again and again would else take the core from the others.
-func (c *client) unusable(line string) bool {
+func (c *clientConn) unusable(line string) bool {
 	if c.bad++; c.bad >= badMost {
 		c.turnAway(line)
 		return false
@@ -223,7 +223,7 @@
 }
 
 // pause waits, and says whether the connection stands.
-func (c *client) pause(d time.Duration) bool {
+func (c *clientConn) pause(d time.Duration) bool {
 	end := time.Now().Add(d)
 	c.nc.SetReadDeadline(end)
 	c.ahead, c.timed = true, true
@@ -237,7 +237,7 @@
 	return true
 }
 
-func (c *client) reply(line string) bool {
+func (c *clientConn) reply(line string) bool {
 	s := c.take(nil, 0)
 	c.answer(s, []byte(line))
 	return s != nil
@@ -245,7 +245,7 @@
 
 // take keeps a place for the next answer. It waits while too many are kept already, or the answers before are not
 // read; nil: the connection ended. What it costs has been taken from the budget.
-func (c *client) take(a *ask, cost int64) *slot {
+func (c *clientConn) take(a *ask, cost int64) *slot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for (len(c.slots) >= mostPipelined || len(c.out) > mostUnread) && !c.closed {
@@ -259,7 +259,7 @@
 }
 
 // keep keeps a place. The caller holds mu.
-func (c *client) keep(a *ask, cost int64) *slot {
+func (c *clientConn) keep(a *ask, cost int64) *slot {
 	s := &slot{ask: a, cost: cost}
 	c.slots = append(c.slots, s)
 	c.idle.Store(0)
@@ -268,7 +268,7 @@
 
 // await waits for room. As far as the buffer may grow it reads on meanwhile: a client that leaves is to be seen, as
 // nothing may then be sent on for it. The caller holds mu.
-func (c *client) await() {
+func (c *clientConn) await() {
 	if c.in.room() <= 0 {
 		c.room.Wait()
 		return
@@ -288,7 +288,7 @@
 }
 
 // roomMade wakes whoever waits for room. The caller holds mu.
-func (c *client) roomMade() {
+func (c *clientConn) roomMade() {
 	c.room.Broadcast()
 	if c.parked {
 		c.nc.SetReadDeadline(time.Unix(1, 0))
@@ -297,7 +297,7 @@
 
 // answer fills a slot, once. What then stands at the head is written as far as the socket takes it, and the rest by
 // a goroutine of its own: a slow client must not hold up the caller.
-func (c *client) answer(s *slot, line []byte) {
+func (c *clientConn) answer(s *slot, line []byte) {
 	if s == nil {
 		return
 	}
@@ -326,7 +326,7 @@
 }
 
 // writeSome writes what the socket takes at once. The caller holds mu.
-func (c *client) writeSome() {
+func (c *clientConn) writeSome() {
 	n, err := writeNow(c.nc, c.out)
 	c.cs.memory.give(int64(n))
 	if c.out = c.out[n:]; len(c.out) == 0 {
@@ -344,7 +344,7 @@
 }
 
 // write writes what is there.
-func (c *client) write() {
+func (c *clientConn) write() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for len(c.out) > 0 && !c.closed {
@@ -368,7 +368,7 @@
 // turnAway answers what can't be read and ends the connection. Closing it while the client still sends would
 // throw the error line away, so what comes is read for a while, and from the start, so that a client that leaves
 // is seen though answers before this one are still owed.
-func (c *client) turnAway(line string) {
+func (c *clientConn) turnAway(line string) {
 	c.nc.SetReadDeadline(time.Time{})
 	c.mu.Lock()
 	c.refused = true
@@ -392,7 +392,7 @@
 }
 
 // linger closes the sending side once all is answered. The caller holds mu.
-func (c *client) linger() {
+func (c *clientConn) linger() {
 	half, ok := c.nc.(interface{ CloseWrite() error })
 	if c.lingers = true; c.cs.lingering.Add(1) > mostLingering || !ok || half.CloseWrite() != nil {
 		c.close()
@@ -404,7 +404,7 @@
 
 // left says whether the client has ended its connection, which its reader may not know yet: it may wait for room, or
 // have more to read before the end. The connection is then closed here too, and all its requests end.
-func (c *client) left() bool {
+func (c *clientConn) left() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closed && hungUp(c.nc) {
@@ -414,14 +414,14 @@
 }
 
 // leaving says that nothing more is sent on for the connection.
-func (c *client) leaving() bool {
+func (c *clientConn) leaving() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.last
 }
 
 // finish makes what comes from now on be refused, and the connection end once it owes no answer.
-func (c *client) finish() {
+func (c *clientConn) finish() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.last = true
@@ -429,7 +429,7 @@
 }
 
 // closeIfIdle closes a connection that is to go when nothing is owed on it. The caller holds mu.
-func (c *client) closeIfIdle() {
+func (c *clientConn) closeIfIdle() {
 	switch {
 	case c.closed || c.owes():
 	case c.refused && !c.lingers:
@@ -440,7 +440,7 @@
 }
 
 // closeNow closes a connection that stands between two requests, and says whether it has ended.
-func (c *client) closeNow() bool {
+func (c *clientConn) closeNow() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closed && !c.refused && !c.owes() && c.between() {
@@ -450,14 +450,14 @@
 }
 
 // owes says whether an answer is still to be given or written. The caller holds mu.
-func (c *client) owes() bool { return len(c.slots) > 0 || len(c.out) > 0 || c.writing }
+func (c *clientConn) owes() bool { return len(c.slots) > 0 || len(c.out) > 0 || c.writing }
 
 // between says whether no part of a command has come. Else closing would not only cross that command: what lies
 // unread makes the kernel reset the connection, and answers on their way may be lost. The caller holds mu.
-func (c *client) between() bool { return !c.begun && quiet(c.nc) }
+func (c *clientConn) between() bool { return !c.begun && quiet(c.nc) }
 
 // close ends the connection. The caller holds mu.
-func (c *client) close() {
+func (c *clientConn) close() {
 	if !c.closed {
 		c.closed = true
 		c.nc.Close()
@@ -466,7 +466,7 @@
 }
 
 // end tells the loop of the requests whose client has left.
-func (c *client) end() {
+func (c *clientConn) end() {
 	c.mu.Lock()
 	c.close()
 	var left []*ask // gathered under the lock, as the loop may be answering
--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -39,7 +39,7 @@
 	accepted  chan struct{} // closed once no more are taken
 
 	mu  sync.Mutex
-	all map[*client]bool
+	all map[*clientConn]bool
 }
 
 func newClients(f *Front) *clients {
@@ -51,7 +51,7 @@
 	if memory <= 0 {
 		memory = 32 << 20
 	}
-	return &clients{f: f, most: most, all: map[*client]bool{}, memory: newBudget(int64(memory)),
+	return &clients{f: f, most: most, all: map[*clientConn]bool{}, memory: newBudget(int64(memory)),
 		accepted: make(chan struct{})}
 }
 
@@ -100,7 +100,7 @@
 			cs.sendAway(nc)
 			continue
 		}
-		c := newClient(cs, nc)
+		c := newClientConn(cs, nc)
 		cs.count.Add(1)
 		cs.mu.Lock()
 		cs.all[c] = true
@@ -113,7 +113,7 @@
 // keep their connections would else fill the share, and the usual ones be turned away.
 func (cs *clients) makeRoom(full bool) bool {
 	now := cs.f.now()
-	var best *client
+	var best *clientConn
 	var since time.Duration
 	cs.mu.Lock()
 	for c := range cs.all {
@@ -178,7 +178,7 @@
 // drain closes the connections that stand between two requests, and the others with their last answer. It
 // says whether none is left.
 func (cs *clients) drain() bool {
-	var all []*client
+	var all []*clientConn
 	now := cs.f.now()
 	cs.mu.Lock()
 	left := len(cs.all)
--- a/internal/front/clients_test.go
+++ b/internal/front/clients_test.go
@@ -242,7 +242,7 @@
 	// since sets for how long a client's connection has been idle; below 0 it is never long enough. Until its reader
 	// waits for the next command, it stands within the one before.
 	since := func(ages map[int]time.Duration) {
-		found := map[*client]time.Duration{}
+		found := map[*clientConn]time.Duration{}
 		w.f.clients.mu.Lock()
 		for c := range w.f.clients.all {
 			for i, age := range ages {
--- a/internal/front/closing_test.go
+++ b/internal/front/closing_test.go
@@ -12,7 +12,7 @@
 )
 
 // pair is a connection of which the front door's end is not read by anybody yet.
-func pair(t *testing.T, f *Front) (*client, *peer) {
+func pair(t *testing.T, f *Front) (*clientConn, *peer) {
 	t.Helper()
 	ln := listen(t)
 	nc, err := net.Dial("tcp", ln.Addr().String())
@@ -24,7 +24,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { far.Close() })
-	c := newClient(f.clients, far)
+	c := newClientConn(f.clients, far)
 	f.clients.count.Add(1)
 	f.clients.all[c] = true
 	return c, newPeer(t, nc)
--- a/internal/front/deadlock_test.go
+++ b/internal/front/deadlock_test.go
@@ -10,13 +10,13 @@
 
 // readerWaits waits until the reader of a connection waits so, by the words of a stack: "IO wait" for bytes,
 // "sync.Mutex.Lock" for the connection's lock.
-func readerWaits(t *testing.T, c *client, how string) {
+func readerWaits(t *testing.T, c *clientConn, how string) {
 	t.Helper()
 	stacks := make([]byte, 1<<20)
 	for end := time.Now().Add(patient); ; time.Sleep(time.Millisecond) {
 		all := string(stacks[:runtime.Stack(stacks, true)])
 		for one := range strings.SplitSeq(all, "\n\n") {
-			if strings.Contains(one, fmt.Sprintf("(*client).receive(%p", c)) && strings.Contains(one, how) {
+			if strings.Contains(one, fmt.Sprintf("(*clientConn).receive(%p", c)) && strings.Contains(one, how) {
 				return
 			}
 		}
--- a/internal/front/gone_test.go
+++ b/internal/front/gone_test.go
@@ -15,7 +15,7 @@
 )
 
 // ended waits until the end of a connection has come to this side, whatever lies before it.
-func ended(t *testing.T, c *client) {
+func ended(t *testing.T, c *clientConn) {
 	t.Helper()
 	for end := time.Now().Add(patient); !hungUp(c.nc); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
@@ -25,7 +25,7 @@
 }
 
 // ask makes a client ask and takes the request as its reader would, which then stands still.
-func (p *peer) ask(f *Front, c *client, id string) *request {
+func (p *peer) ask(f *Front, c *clientConn, id string) *request {
 	p.t.Helper()
 	p.command("Q.ASK", customer, id, list)
 	m, err := c.in.next()
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -15,12 +15,14 @@
 	"bellwood"
 )
 
-// lateAsk is how much longer than its class's time a client may say that it waits.
-const lateAsk = time.Second
+const (
+	lateAsk   = time.Second // that a client may say it waits longer than its class's time
+	mostUnits = 1e9         // of a request, where the settings do not say
+)
 
 // ask is a client's request as its connection read it.
 type ask struct {
-	conn        *client
+	conn        *clientConn
 	slot        *slot
 	id          uint64        // the loop's
 	at          time.Duration // when its last byte was read
@@ -64,6 +66,12 @@
 	}, string(b))
 }
 
+// fields says which fields of a request's list were given, beside those that an ask keeps.
+type fields struct {
+	names      []string
+	key, first bool
+}
+
 // parse reads a request. What it can't read goes nowhere.
 func (f *Front) parse(name string, args [][]byte) (*ask, error) {
 	if len(args) != 4 && len(args) != 5 {
@@ -77,68 +85,80 @@
 		return nil, errors.New("the id is empty")
 	}
 	a := &ask{at: f.now(), args: args, list: 3, class: -1, plan: -1, customer: strings.ToLower(string(args[1]))}
-	key, first := false, false
-	var seen [16]string
-	fields := seen[:0]
-	for at, list := 0, string(args[3]); at <= len(list); {
+	var names [16]string
+	given := fields{names: names[:0]}
+	for at, list := 0, string(args[a.list]); at <= len(list); {
 		item, _, _ := strings.Cut(list[at:], ",")
-		k, v, _ := strings.Cut(item, "=")
-		if slices.Contains(fields, k) { // a backend may read the other one
-			return nil, fmt.Errorf("%s is given twice", printable([]byte(k)))
+		key, value, _ := strings.Cut(item, "=")
+		if slices.Contains(given.names, key) { // a backend may read the other one
+			return nil, fmt.Errorf("%s is given twice", printable([]byte(key)))
 		}
-		fields = append(fields, k)
-		ok := true
-		switch k {
-		case "c":
-			a.class = index(f.cfg.Transport.Classes, v)
-			ok = a.class >= 0
-		case "t":
-			a.plan = index(f.cfg.Transport.Plans, v)
-			ok = a.plan >= 0
-		case "d":
-			ms, err := strconv.ParseUint(v, 10, 31)
-			ok = err == nil && ms > 0
-			a.wait = time.Duration(ms) * time.Millisecond
-			a.waitFrom, a.waitTo = at+2, at+len(item)
-		case "k":
-			ok = v != ""
-			key = true
-		case "r":
-			a.retry = v == "1"
-			ok = v == "1" || v == "0"
-		case "units":
-			a.units, ok = decimal(v)
-			ok = ok && a.units > 0 && a.units <= cmp.Or(f.cfg.Settings.MaxUnits, 1e9)
-		case "spread":
-			n, err := strconv.ParseUint(v, 10, 31)
-			ok = err == nil && n > 0 && int(n) <= f.cfg.Settings.Doors
-			a.spread = int(n)
-		case "first":
-			n, err := strconv.ParseUint(v, 10, 31)
-			ok = err == nil && int(n) < f.cfg.Settings.Doors
-			first = true
+		given.names = append(given.names, key)
+		if !f.parseField(a, &given, key, value) {
+			return nil, fmt.Errorf("ill-formed or unknown %s", printable([]byte(key)))
 		}
-		if !ok {
-			return nil, fmt.Errorf("ill-formed or unknown %s", printable([]byte(k)))
+		if key == "d" {
+			a.waitFrom, a.waitTo = at+len("d="), at+len(item)
 		}
 		at += len(item) + 1
 	}
-	switch {
-	case a.class < 0, a.plan < 0, a.wait == 0, a.units == 0, a.spread == 0, !first:
-		return nil, errors.New("one of c, t, d, units, spread and first is missing")
+	if err := f.check(a, given, name); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+// parseField reads one field of the list. Unknown ones are passed on.
+func (f *Front) parseField(a *ask, given *fields, key, value string) (ok bool) {
+	switch key {
+	case "c":
+		a.class = index(f.cfg.Transport.Classes, value)
+		return a.class >= 0
+	case "t":
+		a.plan = index(f.cfg.Transport.Plans, value)
+		return a.plan >= 0
+	case "d":
+		ms, err := strconv.ParseUint(value, 10, 31)
+		a.wait = time.Duration(ms) * time.Millisecond
+		return err == nil && ms > 0
+	case "k":
+		given.key = true
+		return value != ""
+	case "r":
+		a.retry = value == "1"
+		return value == "1" || value == "0"
+	case "units":
+		a.units, ok = decimal(value)
+		return ok && a.units > 0 && a.units <= cmp.Or(f.cfg.Settings.MaxUnits, mostUnits)
+	case "spread":
+		n, err := strconv.ParseUint(value, 10, 31)
+		a.spread = int(n)
+		return err == nil && n > 0 && int(n) <= f.cfg.Settings.Doors
+	case "first":
+		given.first = true
+		n, err := strconv.ParseUint(value, 10, 31)
+		return err == nil && int(n) < f.cfg.Settings.Doors
+	}
+	return true
+}
+
+// check says what is wrong with a request whose fields can all be read.
+func (f *Front) check(a *ask, given fields, name string) error {
+	if a.class < 0 || a.plan < 0 || a.wait == 0 || a.units == 0 || a.spread == 0 || !given.first {
+		return errors.New("one of c, t, d, units, spread and first is missing")
 	}
 	// A request and its timers are kept for as long as the client says that it waits.
 	class := &f.cfg.Settings.Classes[a.class]
 	if class.GiveUp > 0 && a.wait > class.GiveUp+lateAsk {
-		return nil, errors.New("ill-formed or unknown d")
+		return errors.New("ill-formed or unknown d")
 	}
 	switch effect := class.Effect; {
 	case (effect == bellwood.Safe) != (name == "Q.ASK"):
-		return nil, fmt.Errorf("class not served by %s", name)
-	case effect == bellwood.Keyed && !key:
-		return nil, errors.New("k is missing")
+		return fmt.Errorf("class not served by %s", name)
+	case effect == bellwood.Keyed && !given.key:
+		return errors.New("k is missing")
 	}
-	return a, nil
+	return nil
 }
 
 // decimal reads a number in plain digits. What the standard library takes besides, such as signs, exponents and hex,
