--- a/internal/mixed/audit_test.go
+++ b/internal/mixed/audit_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -195,9 +196,15 @@
 // waitReady waits until the door takes requests.
 func (d *auditDoor) waitReady() {
 	d.fleet.t.Helper()
-	for end := time.Now().Add(soon); d.ping() != "+PONG"; time.Sleep(20 * time.Millisecond) {
+	eventually(d.fleet.t, fmt.Sprintf("n%d is ready", d.rank), func() bool { return d.ping() == "+PONG" })
+}
+
+// eventually waits until something holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(soon); !holds(); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(end) {
-			d.fleet.t.Fatalf("n%d is not ready; its log ends with %s", d.rank, d.proc.log.last())
+			t.Fatalf("it never came to this: %s", what)
 		}
 	}
 }
@@ -239,21 +246,22 @@
 	f.checkCap()
 }
 
-// change tells the agents of some doors that a backend drains, and notes nothing at the others.
+// drain tells the agents of all doors, except for some, that a backend drains.
 func (f *auditFleet) drain(backend int, except ...int) {
-	m := f.members[backend]
-	m.Status = standin.Draining
 	for _, d := range f.doors {
-		told := true
-		for _, rank := range except {
-			told = told && rank != d.rank
-		}
-		if told {
-			d.catalog.Apply(m)
+		if !slices.Contains(except, d.rank) {
+			d.drain(backend)
 		}
 	}
 }
 
+// drain tells the door's agent that a backend drains.
+func (d *auditDoor) drain(backend int) {
+	m := d.fleet.members[backend]
+	m.Status = standin.Draining
+	d.catalog.Apply(m)
+}
+
 // checkVersions checks by the records of each door that every attempt went to a backend of a version that was in force.
 // In these tests version 1 has all backends, and each later one drains one more, from the first on.
 func (f *auditFleet) checkVersions() {
@@ -314,14 +322,10 @@
 // serves waits until a door has had an attempt after a time.
 func (f *auditFleet) serves(door int, at time.Time) {
 	f.t.Helper()
-	for end := time.Now().Add(soon); ; time.Sleep(20 * time.Millisecond) {
-		if all, _ := f.after(door, 0, at); all > 0 {
-			return
-		}
-		if time.Now().After(end) {
-			f.t.Fatalf("n%d does not serve", door)
-		}
-	}
+	eventually(f.t, fmt.Sprintf("n%d serves", door), func() bool {
+		all, _ := f.after(door, 0, at)
+		return all > 0
+	})
 }
 
 // untouched fails if a door's audit took a step.
@@ -474,9 +478,7 @@
 	if all, _ := f.after(stale, 0, out.Add(drainGrace)); all > 0 {
 		t.Errorf("%d attempts while it was shut out", all)
 	}
-	m := f.members[0]
-	m.Status = standin.Draining
-	d.catalog.Apply(m)
+	d.drain(0)
 	d.log.waitStep(t, "caught up")
 	back := d.log.waitStep(t, "back in service")
 	d.waitReady()
@@ -495,12 +497,9 @@
 	for _, rank := range []int{1, 3} {
 		f.doors[rank].log.waitStep(t, "list asked for")
 	}
-	outs := func() int { return len(f.doors[1].log.shutOut(t)) + len(f.doors[3].log.shutOut(t)) }
-	for end := time.Now().Add(soon); outs() == 0; time.Sleep(20 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("nobody is shut out")
-		}
-	}
+	eventually(t, "one is shut out", func() bool {
+		return len(f.doors[1].log.shutOut(t))+len(f.doors[3].log.shutOut(t)) > 0
+	})
 	time.Sleep(2 * 4 * time.Second) // two epochs, in which the other asks too
 	for rank := range f.doors {
 		if rank != 1 && rank != 3 {
@@ -587,16 +586,14 @@
 	f := startFleet(t, nil)
 	f.drain(0, 1, 3)
 	holder, other := -1, -1
-	for end := time.Now().Add(soon); holder < 0; time.Sleep(20 * time.Millisecond) {
+	eventually(t, "one is shut out", func() bool {
 		for _, pair := range [][2]int{{1, 3}, {3, 1}} {
 			if len(f.doors[pair[0]].log.shutOut(t)) > 0 {
 				holder, other = pair[0], pair[1]
 			}
 		}
-		if time.Now().After(end) {
-			t.Fatal("nobody is shut out")
-		}
-	}
+		return holder >= 0
+	})
 	d := f.doors[holder]
 	f.must(d.proc.kill())
 	killed := time.Now()
@@ -606,9 +603,7 @@
 	}
 	d.start() // its configuration still has the old list
 	d.waitReady()
-	m := f.members[0]
-	m.Status = standin.Draining
-	d.catalog.Apply(m)
+	d.drain(0)
 	d.log.wait(t, "version in force", func(fields map[string]string) bool {
 		return fields["version"] == "2" && parseTime(t, fields["in_force_at"]).After(killed)
 	})
