Hold a door that woke until discovery has answered, not when its call has failed

ListTaken told whether the list came, and nobody looked at it: a door whose agent was silent served by its old list as soon as the call had failed. TestWakingDoorWaitsForItsList fails without the change. Off by default, as the audit is.

--- a/internal/audit/fleet_test.go
+++ b/internal/audit/fleet_test.go
@@ -381,6 +381,32 @@
 	}
 }
 
+// A door that stood still sends nothing on until it has heard from discovery, or its time for that is over.
+func TestWakingDoorWaitsForItsList(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		f := newFleet(t, 1, 5)
+		for range 10 * time.Second / tick {
+			f.step(0)
+		}
+		d := f.doors[1]
+		d.agentLost = !answers
+		d.stoodAt, d.stopped = f.now, f.now+8*time.Second
+		for f.now < d.stopped || d.stopped > 0 {
+			f.step(0)
+		}
+		woke := f.now
+		if !d.suspended {
+			t.Fatal("it serves at once")
+		}
+		for d.suspended && f.now < woke+2*wakeMost {
+			f.step(0)
+		}
+		if held := f.now - woke; answers != (held < time.Second) || held > wakeMost+time.Second {
+			t.Errorf("discovery answers %v: it served after %v", answers, held)
+		}
+	}
+}
+
 // All audit calls of a fleet together stay within the share, at a start of all at once, in quiet and with half of the
 // doors behind.
 func TestCallsStayWithinTheShare(t *testing.T) {
--- a/internal/audit/machine.go
+++ b/internal/audit/machine.go
@@ -105,7 +105,7 @@
 		m.woke(event)
 	case ListTaken:
 		if m.wake != nil {
-			m.wake.listTaken = true
+			m.wake.listTaken = event.OK
 		}
 	}
 }
