Take twins out of the audit: one bound for standing still, one way to start a record

The 6 s after which a process counts as having stood still stood in internal/audit and internal/front; internal/front now uses audit.StoodStill. adopt and reconfigure built the same record; both call start. Three process tests ended alike, with the same waits and checks; they call staysInService.

--- a/internal/audit/lease.go
+++ b/internal/audit/lease.go
@@ -18,9 +18,9 @@
 )
 
 // lease is a door's claim to one of the slots that bound how many doors are shut out at once. A slot is leased for one
-// epoch and claimed in the one before: whoever finds its number empty and adds a mark of its own has it, if it finds just
-// that again when nobody may claim any more. So a counter that comes back empty in between makes doors lose their claims, and
-// never gives a slot to two.
+// epoch and claimed in the one before: whoever finds its number empty and adds a mark of its own has it, if it finds
+// just that again when nobody may claim any more. So a counter that comes back empty in between makes doors lose their
+// claims, and never gives a slot to two.
 type lease struct {
 	first   int64   // the first epoch in which to claim
 	epoch   int64   // that runs
--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -139,29 +139,25 @@
 		h.told = false
 		return ended, false
 	}
-	ended, ok = h.end(now)
-	h.current = VersionRecord{Before: ended.After, After: version.Index, Source: version.Source, Folded: version.Changes,
-		ReadAt: version.ReadAt, InForceAt: now, Revision: h.revision, Digest: h.digest}
-	h.begun, h.told = true, false
-	return ended, ok
+	return h.start(now, version)
 }
 
 // reconfigure starts a record for the same version under another configuration, and returns the one that has ended.
 func (h *history) reconfigure(now time.Duration) (ended VersionRecord, ok bool) {
-	if ended, ok = h.end(now); !ok {
+	if !h.begun {
 		return ended, false
 	}
-	h.current = VersionRecord{Before: ended.After, After: ended.After, Source: ended.Source, ReadAt: ended.ReadAt,
-		InForceAt: now, Revision: h.revision, Digest: h.digest}
-	h.told = false
-	return ended, true
+	return h.start(now, Adopted{Index: h.current.After, Source: h.current.Source, ReadAt: h.current.ReadAt})
 }
 
-// end returns the current record as replaced now.
-func (h *history) end(now time.Duration) (VersionRecord, bool) {
-	ended := h.current
+// start starts a record and returns the one that has ended, if one has.
+func (h *history) start(now time.Duration, version Adopted) (ended VersionRecord, ok bool) {
+	ended, ok = h.current, h.begun
 	ended.Replaced, ended.ReplacedAt = true, now
-	return ended, h.begun
+	h.current = VersionRecord{Before: ended.After, After: version.Index, Source: version.Source, Folded: version.Changes,
+		ReadAt: version.ReadAt, InForceAt: now, Revision: h.revision, Digest: h.digest}
+	h.begun, h.told = true, false
+	return ended, ok
 }
 
 // due returns the current record once the versions that would be folded into it have come.
--- a/internal/audit/straggler.go
+++ b/internal/audit/straggler.go
@@ -12,9 +12,11 @@
 	returnForget = 2 * time.Minute  // ... unless it served for so long in between
 	wakeMost     = 3 * time.Second  // that a door waits for its check after it woke
 	wakeReads    = 2                // windows whose proposals it then reads
-	stoodStill   = 6 * time.Second  // a stop that makes a door check
 )
 
+// StoodStill is how long a process has to stand still for a Woke: a change counts as told after as long.
+const StoodStill = 6 * time.Second
+
 // stage says how far the bringing up of a straggler has come.
 type stage int
 
@@ -133,7 +135,7 @@
 
 // woke begins the check. It reads the proposals of this window and of the one before, as far as its pace allows.
 func (m *Machine) woke(event Woke) {
-	if event.StoodStill < stoodStill || !m.known {
+	if event.StoodStill < StoodStill || !m.known {
 		return
 	}
 	m.wake = &wakeCheck{since: m.now}
--- a/internal/front/audit.go
+++ b/internal/front/audit.go
@@ -12,10 +12,6 @@
 	"bellwood/internal/audit"
 )
 
-// standsStill is a pass of the loop, or a wait for one, after which the process counts as having stood still. The
-// module's check alone brings a pass every 20 ms.
-const standsStill = 6 * time.Second
-
 // auditor feeds the audit of the fleet with what happens at this door, and carries out what it wants. The loop owns it.
 // All methods do nothing where the audit is off (nil).
 type auditor struct {
@@ -23,7 +19,7 @@
 	machine *audit.Machine
 	events  []audit.Event
 	read    []audit.Adopted // versions that are in force after the next Step of the Door
-	passAt  time.Duration   // when the last pass began or ended
+	passAt  time.Duration   // when the last pass began or ended; the module's check alone brings one every 20 ms
 }
 
 func newAuditor(f *Front) (*auditor, error) {
@@ -105,8 +101,9 @@
 	if a == nil {
 		return
 	}
-	stood := a.stoodStillFor(a.f.now())
-	if a.passAt = a.f.now(); stood > 0 {
+	now := a.f.now()
+	stood := a.stoodStillFor(now)
+	if a.passAt = now; stood > 0 {
 		a.tell(audit.Woke{StoodStill: stood})
 		a.step()
 	}
@@ -117,7 +114,7 @@
 	if a == nil {
 		return
 	}
-	if now := a.f.now(); now-a.passAt < standsStill {
+	if now := a.f.now(); now-a.passAt < audit.StoodStill {
 		a.passAt = now
 	}
 	if len(a.events) > 0 {
@@ -130,7 +127,7 @@
 func (a *auditor) stoodStill(now time.Duration) bool { return a.stoodStillFor(now) > 0 }
 
 func (a *auditor) stoodStillFor(now time.Duration) time.Duration {
-	if a == nil || a.passAt == 0 || now-a.passAt < standsStill {
+	if a == nil || a.passAt == 0 || now-a.passAt < audit.StoodStill {
 		return 0
 	}
 	return now - a.passAt
--- a/internal/mixed/audit_test.go
+++ b/internal/mixed/audit_test.go
@@ -328,6 +328,18 @@
 	})
 }
 
+// staysInService lets the time pass in which a straggler would have been found, and ends the fleet: no audit may have
+// taken a step, and all doors serve.
+func (f *auditFleet) staysInService() {
+	f.t.Helper()
+	time.Sleep(quietFor)
+	f.untouched(0, 1, 2, 3, 4)
+	for rank := range f.doors {
+		f.serves(rank, time.Now())
+	}
+	f.end(-1)
+}
+
 // untouched fails if a door's audit took a step.
 func (f *auditFleet) untouched(doors ...int) {
 	f.t.Helper()
@@ -515,12 +527,7 @@
 	f := startFleet(t, nil)
 	f.drain(0, 0, 1, 2, 3)
 	f.doors[4].log.wait(t, "version in force", func(fields map[string]string) bool { return fields["version"] == "2" })
-	time.Sleep(quietFor)
-	f.untouched(0, 1, 2, 3, 4)
-	for rank := range f.doors {
-		f.serves(rank, time.Now())
-	}
-	f.end(-1)
+	f.staysInService()
 }
 
 // Where the counter tells nothing, no verdict is made: a door that is behind stays in service, and so do all others.
@@ -551,12 +558,7 @@
 			f := startFleet(t, nil)
 			fault(f)
 			f.drain(0, stale)
-			time.Sleep(quietFor)
-			f.untouched(0, 1, 2, 3, 4)
-			for rank := range f.doors {
-				f.serves(rank, time.Now())
-			}
-			f.end(-1)
+			f.staysInService()
 		})
 	}
 }
@@ -620,12 +622,7 @@
 		f.doors[liar].index = 4_000_000
 		f.doors[liar].agentLink.Cut(true)
 	})
-	time.Sleep(quietFor)
-	f.untouched(0, 1, 2, 3, 4)
-	for rank := range f.doors {
-		f.serves(rank, time.Now())
-	}
-	f.end(-1)
+	f.staysInService()
 }
 
 // Discovery starts anew with a lower index, at some agents later than at others: in the end all serve.
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -298,10 +298,9 @@
 		t.Errorf("after a reset: %v", err)
 	}
 	link.Delay(ToServer, 0)
-	if nc = dial(); true {
-		if says(nc, "five"); !hears(nc, "five", long) {
-			t.Error("no new connection passes")
-		}
+	nc = dial()
+	if says(nc, "five"); !hears(nc, "five", long) {
+		t.Error("no new connection passes")
 	}
 }
 
