Log requests, attempts, closes, rejections and endpoint lists, so that an incident can be traced

The log could not tell when a list or change was applied, when a watch was opened or why it ended, where and when a request was sent, why a connection was closed or why a request was rejected or retried: the drain incident had to be read from the operators' records alone.

At the default level there are now lines for each watch and each applied list, with version, entries and duration, and the start shows the version in the configuration and the limits. NODE_LOG_LEVEL=debug follows every request under its client's id, every attempt with its backend and status, every close with its reason, and every change of a backend's state. No decision changes.

--- a/cmd/bellwood/main.go
+++ b/cmd/bellwood/main.go
@@ -2,7 +2,7 @@
 // backends.
 //
 // NODE_CONFIG names its configuration file, which is JSON. At startup NODE_NAME, NODE_LISTEN and NODE_DISCOVERY override
-// values of the file. SIGTERM or an interrupt starts a graceful shutdown; SIGHUP reloads the file. The log goes to standard
+// values of the file, and NODE_LOG_LEVEL sets the lowest level that is logged. SIGTERM or an interrupt starts a graceful shutdown; SIGHUP reloads the file. The log goes to standard
 // error. See README.
 package main
 
@@ -47,6 +47,10 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // before anything else, as by default SIGHUP ends the process
 	defer signal.Stop(hup)
+	level, err := logLevel()
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
 	cfg, err := readConfig(applyEnvironment)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -60,7 +64,7 @@
 	defer stop()
 	sink := logsink.New(os.Stderr)
 	defer sink.Close(logFlushTimeout)
-	log := slog.New(slog.NewTextHandler(sink, nil)).With(slog.String("name", cfg.Name))
+	log := slog.New(slog.NewTextHandler(sink, &slog.HandlerOptions{Level: level})).With(slog.String("name", cfg.Name))
 	server, err := gateway.New(cfg, log)
 	if err != nil {
 		return err
@@ -125,5 +129,15 @@
 	}
 }
 
+// logLevel returns the lowest level to log: debug, info, warn or error in NODE_LOG_LEVEL, or info if that is not set.
+func logLevel() (level slog.Level, err error) {
+	if text := os.Getenv("NODE_LOG_LEVEL"); text != "" {
+		if err := level.UnmarshalText([]byte(text)); err != nil {
+			return level, fmt.Errorf("NODE_LOG_LEVEL: %w", err)
+		}
+	}
+	return level, nil
+}
+
 // noOverrides leaves the configuration as it is in the file.
 func noOverrides(*gateway.Config) {}
--- a/cmd/bellwood/main_test.go
+++ b/cmd/bellwood/main_test.go
@@ -27,6 +27,13 @@
 	}
 }
 
+func TestInvalidLogLevelEndsTheStart(t *testing.T) {
+	t.Setenv("NODE_LOG_LEVEL", "loud")
+	if err := run(); err == nil || !strings.Contains(err.Error(), "NODE_LOG_LEVEL") {
+		t.Errorf("got error %v, want one that names NODE_LOG_LEVEL", err)
+	}
+}
+
 func TestEnvironmentOverridesConfigFile(t *testing.T) {
 	t.Setenv("NODE_CONFIG", newConfigFile(t, configJSON("127.0.0.1:1", "127.0.0.1:2")))
 	t.Setenv("NODE_NAME", "n2")
--- a/internal/gateway/backendconn.go
+++ b/internal/gateway/backendconn.go
@@ -76,7 +76,7 @@
 func (conn *backendConn) dialAndRead(ctx context.Context, addr string) {
 	socket, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 	if err != nil {
-		conn.upstream.loop.post(func() { conn.upstream.dropConn(conn, policy.ConnectFailed) })
+		conn.upstream.loop.post(func() { conn.upstream.dropConn(conn, policy.ConnectFailed, backendDialFailed) })
 		return
 	}
 	conn.upstream.loop.post(func() { conn.connected(socket) })
@@ -132,10 +132,11 @@
 	var command []byte
 	switch loop := conn.upstream.loop; {
 	case conn.attempt != nil && conn.attempt.tooLateToSend(loop.now()):
-		conn.upstream.dropConn(conn, policy.NotSent) // the connection was established too late
+		conn.upstream.dropConn(conn, policy.NotSent, attemptTooLate) // the connection was established too late
 		return
 	case conn.attempt != nil:
 		command = conn.attempt.command(loop.now())
+		conn.upstream.trace.attemptWritten(conn.attempt)
 	case conn.healthCheck != nil:
 		command = []byte(protocol.HealthCheck)
 	default:
@@ -177,7 +178,7 @@
 	conn.pool.removeIdle(conn)
 	if conn.attempt != nil && conn.commandsSent.Load() > 1 {
 		// This connection was reused. Those to the same backend that have been idle even longer have probably ended too.
-		conn.upstream.closeIdleSince(conn.pool, conn.idleSince)
+		conn.upstream.closeIdleSince(conn.pool, conn.idleSince, backendOlderConnEnded)
 	}
 	status := policy.ConnectionReset
 	if conn.malformed.Load() {
@@ -185,5 +186,5 @@
 	} else if conn.writeState.Load() != commandWritten {
 		status = policy.ConnectFailed
 	}
-	conn.upstream.dropConn(conn, status)
+	conn.upstream.dropConn(conn, status, backendConnEnded)
 }
--- a/internal/gateway/clientclose.go
+++ b/internal/gateway/clientclose.go
@@ -18,7 +18,7 @@
 func (conn *clientConn) startLinger() {
 	half, ok := conn.socket.(halfCloser)
 	if conn.lingering = true; !conn.downstream.tryLinger() || !ok || half.CloseWrite() != nil {
-		conn.closeLocked()
+		conn.closeLocked(clientLingerEnded)
 		return
 	}
 	conn.socket.SetReadDeadline(time.Now().Add(lingerTimeout))
@@ -32,7 +32,7 @@
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	if !conn.closed && rawsocket.PeerClosed(conn.socket) {
-		conn.closeLocked()
+		conn.closeLocked(clientDisconnected)
 	}
 	return conn.closed
 }
@@ -67,17 +67,17 @@
 	case conn.discarding && !conn.lingering:
 		conn.startLinger()
 	case conn.finishing && !conn.discarding && conn.betweenRequests():
-		conn.closeLocked()
+		conn.closeLocked(clientShutdown)
 	}
 }
 
 // closeIfBetweenRequests closes the connection if no request is in progress on it, and reports whether the connection is
 // closed afterwards.
-func (conn *clientConn) closeIfBetweenRequests() bool {
+func (conn *clientConn) closeIfBetweenRequests(reason clientCloseReason) bool {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	if !conn.closed && !conn.discarding && !conn.replies.hasOutstanding() && conn.betweenRequests() {
-		conn.closeLocked()
+		conn.closeLocked(reason)
 	}
 	return conn.closed
 }
@@ -93,8 +93,9 @@
 }
 
 // closeLocked closes the connection if it is still open. The caller holds mu.
-func (conn *clientConn) closeLocked() {
+func (conn *clientConn) closeLocked(reason clientCloseReason) {
 	if !conn.closed {
+		conn.downstream.trace.clientConnClosed(conn, reason)
 		conn.closed = true
 		conn.socket.Close()
 		conn.replyCapacityOrClosed.Broadcast()
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -107,7 +107,7 @@
 		conn.failAndDiscard(protocol.NoMemory)
 	case errors.Is(err, os.ErrDeadlineExceeded) && conn.commands.Partial():
 		conn.failAndDiscard(protocol.CommandIncomplete)
-	case errors.Is(err, os.ErrDeadlineExceeded) && !conn.closeIfBetweenRequests(): // its first command is just arriving
+	case errors.Is(err, os.ErrDeadlineExceeded) && !conn.closeIfBetweenRequests(clientFirstTimeout): // its first command is just arriving
 		conn.commandDeadline = time.Now().Add(commandTimeout)
 		return true
 	}
@@ -177,7 +177,7 @@
 func (conn *clientConn) cleanUp() {
 	down := conn.downstream
 	conn.mu.Lock()
-	conn.closeLocked()
+	conn.closeLocked(clientReadEnded)
 	unanswered := conn.replies.releaseAll() // under the lock, as the event loop may be sending a reply
 	if conn.lingering {
 		down.endLinger()
--- a/internal/gateway/clientdisconnect_test.go
+++ b/internal/gateway/clientdisconnect_test.go
@@ -347,7 +347,7 @@
 	runTasksUntil(t, server, func() bool { return len(server.requests.byID) == 1 })
 	waitForReaderAwaitingCapacity(t, conn)
 	for _, request := range server.requests.byID {
-		server.requests.answer(request, []byte("-BUSY\r\n"))
+		server.requests.answerByID(request.id, []byte("-BUSY\r\n"), outcomeRejected, policy.OutOfService)
 	}
 	client.wantReply("-BUSY")
 	for range maxPipelined {
--- a/internal/gateway/clientreader.go
+++ b/internal/gateway/clientreader.go
@@ -125,7 +125,7 @@
 	case errors.Is(err, resp.ErrNoMemory):
 		conn.replyCapacityOrClosed.Wait()
 	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
-		conn.closeLocked()
+		conn.closeLocked(clientReadEnded)
 	}
 }
 
--- a/internal/gateway/clientreply.go
+++ b/internal/gateway/clientreply.go
@@ -148,7 +148,7 @@
 		conn.idleSince.Store(int64(conn.downstream.loop.now()))
 	}
 	if conn.replies.exceedsUnwrittenLimit() {
-		conn.closeLocked()
+		conn.closeLocked(clientReadsTooSlowly)
 	} else if len(conn.replies.unwritten) > 0 && !conn.replies.writing && !conn.closed {
 		conn.writeAvailable()
 	}
@@ -161,7 +161,7 @@
 	conn.replies.removeWritten(n)
 	switch {
 	case err != nil:
-		conn.closeLocked()
+		conn.closeLocked(clientWriteFailed)
 	case conn.replies.unwritten != nil:
 		conn.replies.writing = true
 		go conn.writeRemaining() // returns once everything is written or the connection ends
@@ -183,7 +183,7 @@
 		conn.mu.Lock()
 		conn.downstream.memory.Release(int64(len(replies)))
 		if err != nil {
-			conn.closeLocked()
+			conn.closeLocked(clientWriteFailed)
 		}
 	}
 	conn.replies.writing = false
--- a/internal/gateway/closedeadlock_test.go
+++ b/internal/gateway/closedeadlock_test.go
@@ -46,7 +46,7 @@
 	waitForReader(t, conn, "sync.Mutex.Lock")
 	closed := make(chan struct{})
 	go func() {
-		conn.closeLocked()
+		conn.closeLocked(clientShutdown)
 		conn.mu.Unlock()
 		close(closed)
 	}()
@@ -89,7 +89,7 @@
 	time.Sleep(20 * time.Millisecond) // lets the reader run until it blocks
 	closed := make(chan struct{})
 	go func() {
-		conn.closeLocked()
+		conn.closeLocked(clientShutdown)
 		conn.mu.Unlock()
 		close(closed)
 	}()
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -31,6 +31,8 @@
 	Counter string
 	// Seed seeds the engine's random number generator; it is hexadecimal in the file. Required; different at each start.
 	Seed uint64
+	// Cores is the share of a core that the process gets. Default 0: not known. It is only logged.
+	Cores float64
 	// MemoryMB is the memory limit of the process in MiB; a process that exceeds it is killed. Default 0: no known limit.
 	MemoryMB int
 	// Sockets is the limit on open file descriptors of the process. Default 0: no known limit.
@@ -75,6 +77,7 @@
 	var file struct {
 		Name, Listen, Discovery, Counter, Seed string
 		Limits                                 struct {
+			Cores    float64
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int
 		}
@@ -88,7 +91,7 @@
 		return nil, fmt.Errorf("decoding JSON: %w", err)
 	}
 	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Counter: file.Counter,
-		MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets, Known: file.Known}
+		Cores: file.Limits.Cores, MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets, Known: file.Known}
 	var err error
 	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
 		return nil, &SettingError{"seed", err}
--- a/internal/gateway/discovery/client.go
+++ b/internal/gateway/discovery/client.go
@@ -202,11 +202,15 @@
 // watchUntilCancelled opens watches, one after another, until the context is cancelled.
 func (c *Client) watchUntilCancelled(ctx context.Context, address string, index int64) {
 	delay := reconnectDelay
-	for ctx.Err() == nil {
+	for failures := 0; ctx.Err() == nil; failures++ {
+		openedFrom := index
 		var err error
 		index, err = c.watch(ctx, address, index)
+		if index != openedFrom {
+			failures = 0
+		}
 		delay = nextReconnectDelay(delay, err)
-		c.log.Debug("discovery watch ended", slog.Any("error", &CallError{"watch", address, err}))
+		c.logWatchEnd(failures, &CallError{"watch", address, err})
 		select {
 		case <-time.After(delay):
 		case <-ctx.Done():
@@ -214,6 +218,16 @@
 	}
 }
 
+// logWatchEnd logs why a watch ended. failures is the number of watches before it that ended without a list; during an
+// outage only the first of them is logged at the default level.
+func (c *Client) logWatchEnd(failures int, err *CallError) {
+	level := slog.LevelDebug
+	if failures == 0 {
+		level = slog.LevelInfo
+	}
+	c.log.LogAttrs(context.Background(), level, "discovery watch ended", slog.Any("error", err))
+}
+
 // nextReconnectDelay returns the delay after a watch that ended with err; last is the delay before that watch.
 func nextReconnectDelay(last time.Duration, err error) time.Duration {
 	if errors.Is(err, ErrMalformed) {
@@ -229,11 +243,14 @@
 	defer cancel()
 	idle := startIdleTimer(c.watchIdleTimeout, cancel)
 	defer idle.stop()
+	calledAt := time.Now()
 	body, err := c.get(ctx, fmt.Sprintf("%s?stream=1&index=%d", endpointsURL(address), index))
 	if err != nil {
 		return index, err
 	}
 	defer body.Close()
+	c.log.Info("discovery watch opened", slog.String("address", address), slog.Int64("index", index),
+		slog.Duration("after", time.Since(calledAt)))
 	receiver := c.newReceiver(body, idle)
 	receiver.stillWanted = func() bool { return followCtx.Err() == nil }
 	receiver.onApplied = c.recordApplied
--- a/internal/gateway/discovery/receiver.go
+++ b/internal/gateway/discovery/receiver.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"io"
+	"log/slog"
 	"slices"
+	"time"
 
 	"bellwood/internal/gateway/endpoint"
 	"bellwood/internal/policy"
@@ -22,6 +24,8 @@
 	stillWanted func() bool         // whether to go on applying the list; called on the loop before each batch
 	onApplied   func(endpoint.List) // called on the loop when a list has been applied; the list has no entries
 	list        *openList           // the list being read; nil: opened with its first batch
+	entries     int                 // entries of that list so far
+	changes     int                 // backends that it has changed so far
 }
 
 // newReceiver returns a receiver that applies everything it reads.
@@ -37,6 +41,7 @@
 // index does not advance, so the next watch delivers all of it again. No backend is terminated for being absent from a list
 // that was not read to its end. A list that is superseded after that may have terminated some of the absent backends.
 func (r *receiver) next() (endpoint.List, error) {
+	r.entries, r.changes = 0, 0
 	list, err := r.decoder.next()
 	if open := r.list; err != nil && open != nil {
 		r.client.loop.Post(func() { r.client.table.close(open) })
@@ -48,7 +53,7 @@
 // batch implements consumer: it has the loop apply entries other than the last ones of a list.
 func (r *receiver) batch(entries []endpoint.Entry) error {
 	for chunk := range slices.Chunk(entries, batchSize) {
-		err := r.runOnLoop(func() { r.client.update(r.client.table.apply(r.list, chunk)) })
+		err := r.runOnLoop(func() { r.client.update(r.apply(chunk)) })
 		if err != nil {
 			return err
 		}
@@ -74,9 +79,10 @@
 // applyLastBatch applies the last entries of a list and terminates a batch of the backends absent from it. It reports
 // whether the list has been applied completely. It runs on the loop.
 func (r *receiver) applyLastBatch(list endpoint.List, entries []endpoint.Entry) (finished bool) {
-	changes := r.client.table.apply(r.list, entries)
+	changes := r.apply(entries)
 	if list.Snapshot {
 		terminated, last := r.client.table.terminateMissing(r.list)
+		r.changes += len(terminated)
 		changes = append(changes, terminated...)
 		if !last {
 			r.client.update(changes)
@@ -85,12 +91,23 @@
 	}
 	// Sent even if nothing has changed: the engine waits for it to know that the list has arrived.
 	r.client.loop.EmitUpdate(policy.EndpointUpdate{Kind: policy.Delta, Backends: changes})
+	r.client.log.Info("endpoint list applied", slog.Int64("index", list.Index), slog.Bool("snapshot", list.Snapshot),
+		slog.Int("entries", r.entries), slog.Int("changes", r.changes),
+		slog.Duration("duration", time.Since(r.decoder.stream.listBegan)))
 	r.onApplied(list)
 	r.client.table.close(r.list)
 	r.client.reportReady()
 	return true
 }
 
+// apply applies entries of the list being read and returns the changes. It runs on the loop.
+func (r *receiver) apply(entries []endpoint.Entry) []policy.Backend {
+	changes := r.client.table.apply(r.list, entries)
+	r.entries += len(entries)
+	r.changes += len(changes)
+	return changes
+}
+
 // runOnLoop has the loop run a task for the list being read and waits for it. Each Step of the engine therefore takes
 // at most one batch of a list, and requests are served between batches.
 func (r *receiver) runOnLoop(task func()) error {
--- a/internal/gateway/discovery/stream.go
+++ b/internal/gateway/discovery/stream.go
@@ -39,9 +39,10 @@
 type stream struct {
 	source         io.Reader
 	idle           *idleTimer
-	entryBytesLeft int   // bytes that the current entry may still take
-	betweenLists   bool  // the read position is before the first list or between two lists
-	err            error // the error with which the source ended
+	entryBytesLeft int       // bytes that the current entry may still take
+	betweenLists   bool      // the read position is before the first list or between two lists
+	listBegan      time.Time // when the first byte of the current list was read
+	err            error     // the error with which the source ended
 }
 
 // newStream returns a stream positioned before its first list.
@@ -59,7 +60,9 @@
 				s.idle.reset()
 			}
 			n = copy(b, bytes.TrimLeft(b[:n], " \t\r\n"))
-			s.betweenLists = n == 0
+			if s.betweenLists = n == 0; n > 0 {
+				s.listBegan = time.Now()
+			}
 		}
 		if s.entryBytesLeft -= n; s.entryBytesLeft < 0 {
 			return 0, errEntryTooLong
@@ -79,5 +82,7 @@
 // endList records that a complete list has been read. ahead is the data already read after it.
 func (s *stream) endList(ahead []byte) {
 	s.beginEntry()
-	s.betweenLists = len(bytes.TrimSpace(ahead)) == 0
+	if s.betweenLists = len(bytes.TrimSpace(ahead)) == 0; !s.betweenLists {
+		s.listBegan = time.Now()
+	}
 }
--- a/internal/gateway/downstream.go
+++ b/internal/gateway/downstream.go
@@ -33,6 +33,7 @@
 	requests requestHandler
 	service  serviceState
 	log      *slog.Logger
+	trace    trace
 	maxConns int64         // limit on open client connections
 	memory   *budget.Bytes // memory used on behalf of all clients
 }
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -146,7 +146,7 @@
 	if longest == nil {
 		return false
 	}
-	ended := longest.closeIfBetweenRequests()
+	ended := longest.closeIfBetweenRequests(clientEvicted)
 	longest.idleSince.Store(notEvictable)
 	if !ended { // a request has just arrived on it
 		return down.evictIdle(capacity)
--- a/internal/gateway/requesttable.go
+++ b/internal/gateway/requesttable.go
@@ -50,6 +50,7 @@
 type requestTable struct {
 	loop         taskLoop
 	log          *slog.Logger
+	trace        trace
 	sender       attemptSender
 	audit        requestAudit
 	maxOpen      int  // limit on open requests; 0: no limit
@@ -62,7 +63,7 @@
 }
 
 func newRequestTable(loop taskLoop, cfg *Config, log *slog.Logger) *requestTable {
-	return &requestTable{loop: loop, log: log, maxOpen: cfg.Transport.MaxOpenRequests,
+	return &requestTable{loop: loop, log: log, trace: trace{log}, maxOpen: cfg.Transport.MaxOpenRequests,
 		allowHedging: cfg.Settings.AllowHedging, byID: map[uint64]*openRequest{}, clientIDInUse: map[string]bool{}}
 }
 
@@ -86,6 +87,7 @@
 	request := &openRequest{id: table.lastID, clientRequest: received, deadline: received.arrivedAt + received.TimeLeft}
 	received.id = request.id
 	table.byID[request.id] = request
+	table.trace.requestReceived(request)
 	table.startDeadlineTimer(request)
 	table.loop.emit(policy.Request{ID: request.id, Class: received.Class, Plan: received.Plan, Tenant: received.Tenant,
 		Cost: received.Cost, Gateways: received.Gateways, ClientRetry: received.ClientRetry}) // updateTimeLeft sets TimeLeft
@@ -134,7 +136,7 @@
 // abandon ends a request that the engine has not answered, with an error reply. It emits ClientGone although the client is
 // still connected, because that event makes the engine drop a request without answering it.
 func (table *requestTable) abandon(request *openRequest) {
-	table.end(request)
+	table.end(request, outcomeAbandoned, "")
 	table.loop.emit(policy.ClientGone{ID: request.id})
 	request.clientRequest.answer([]byte(protocol.NoAnswerInTime))
 }
@@ -158,25 +160,30 @@
 // clientDisconnected ends the request of a client that has disconnected.
 func (table *requestTable) clientDisconnected(received *clientRequest) {
 	if request := table.byID[received.id]; request != nil && !request.ended {
-		table.end(request)
+		table.end(request, outcomeDisconnected, "")
 		table.loop.emit(policy.ClientGone{ID: request.id})
 	}
 }
 
-// answerByID gives the request with the given table id its final reply, if it is still open.
-func (table *requestTable) answerByID(id uint64, text []byte) { table.answer(table.byID[id], text) }
+// answerByID gives the request with the given table id the final reply that the engine decided on, if it is still open.
+func (table *requestTable) answerByID(id uint64, text []byte, outcome requestOutcome, reason policy.RejectReason) {
+	if request := table.byID[id]; request != nil && !request.ended {
+		table.end(request, outcome, reason.String())
+		request.clientRequest.answer(text)
+	}
+}
 
-// answer gives a request its final reply. It does nothing if the request is nil or has ended.
-func (table *requestTable) answer(request *openRequest, text []byte) {
-	if request == nil || request.ended {
-		return
+// serve gives a request a backend's value as its final reply. It does nothing if the request has ended.
+func (table *requestTable) serve(request *openRequest, value []byte) {
+	if !request.ended {
+		table.end(request, outcomeServed, "")
+		request.clientRequest.answer(value)
 	}
-	table.end(request)
-	request.clientRequest.answer(text)
 }
 
 // end ends a request and cancels its attempts in flight, since nothing more may be sent for it.
-func (table *requestTable) end(request *openRequest) {
+func (table *requestTable) end(request *openRequest, outcome requestOutcome, reason string) {
+	table.trace.requestEnded(request, outcome, reason)
 	request.ended = true
 	delete(table.clientIDInUse, string(request.clientRequest.ClientID()))
 	table.loop.stopTimer(request.deadlineTimer)
@@ -222,6 +229,7 @@
 		return
 	}
 	table.audit.attemptStarted()
+	table.trace.attemptStarted(attempt)
 	table.sender.startAttempt(attempt)
 }
 
@@ -247,8 +255,10 @@
 	attempt.ended = true
 	table.loop.stopTimer(attempt.deadlineTimer)
 	attempt.request.openAttempts--
+	latency := table.loop.now() - attempt.startedAt
+	table.trace.attemptEnded(attempt, result.status, latency)
 	table.loop.emit(policy.AttemptResult{ID: attempt.request.id, Attempt: attempt.number, Backend: attempt.backend,
-		Status: result.status, Latency: table.loop.now() - attempt.startedAt, RequestClosed: attempt.request.ended,
+		Status: result.status, Latency: latency, RequestClosed: attempt.request.ended,
 		QuotaUsage: result.quotaUsage, Cost: result.cost})
 	table.removeIfFinished(attempt.request)
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -78,7 +78,7 @@
 	}
 	server := &Server{eventLoop: newEventLoop(), cfg: cfg, log: log, engine: engine}
 	server.requests = newRequestTable(server.eventLoop, cfg, log)
-	server.upstream = newUpstream(server.eventLoop, server.requests, cfg)
+	server.upstream = newUpstream(server.eventLoop, server.requests, cfg, log)
 	server.requests.sender = server.upstream
 	server.counter = newCounter(server)
 	server.discovery = newDiscovery(server)
@@ -87,6 +87,7 @@
 		requests: server.requests,
 		service:  server,
 		log:      log,
+		trace:    trace{log},
 		maxConns: budget.ClientConns(cfg.Sockets, server.upstream.maxConns),
 		memory:   budget.NewBytes(budget.ClientMemory(cfg.MemoryMB)),
 	})
@@ -111,7 +112,9 @@
 	go server.downstream.accept(ln)
 	go server.watchdog.Run(server.done, watchdog.Interval, server.log)
 	server.log.Info("gateway started", slog.String("listen", ln.Addr().String()),
-		slog.Int("backends", len(server.cfg.Known.Endpoints)))
+		slog.Int("backends", len(server.cfg.Known.Endpoints)), slog.Int64("index", server.cfg.Known.Index),
+		slog.Float64("cores", server.cfg.Cores), slog.Int("memory_mb", server.cfg.MemoryMB),
+		slog.Int("sockets", server.cfg.Sockets))
 	server.runEvery(cleanupInterval, func() {
 		server.upstream.closeExpiredIdle()
 		server.counter.CloseIdleAndStalled()
@@ -236,9 +239,9 @@
 	case policy.CancelAttempt:
 		server.requests.cancelAttempt(action)
 	case policy.Reject:
-		server.requests.answerByID(action.ID, protocol.Busy(action.RetryAfter))
+		server.requests.answerByID(action.ID, protocol.Busy(action.RetryAfter), outcomeRejected, action.Reason)
 	case policy.Fail:
-		server.requests.answerByID(action.ID, []byte(protocol.Failed))
+		server.requests.answerByID(action.ID, []byte(protocol.Failed), outcomeFailed, action.Reason)
 	case policy.HealthCheck:
 		server.upstream.startHealthCheck(action.Backend)
 	case policy.AddToCounter:
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -19,7 +19,7 @@
 		conn, client := newClientPair(t, server)
 		client.write(respCommand("PING")[:cut])
 		waitForBytes(t, conn.socket)
-		if conn.closeIfBetweenRequests() {
+		if conn.closeIfBetweenRequests(clientShutdown) {
 			t.Fatalf("closed with %d bytes unread", cut)
 		}
 		conn.idleSince.Store(int64(server.now() - time.Hour))
--- a/internal/gateway/testgateway_test.go
+++ b/internal/gateway/testgateway_test.go
@@ -51,6 +51,12 @@
 
 // startGateway runs a gateway whose configured endpoint list has backends at the given addresses.
 func startGateway(t *testing.T, addrs []string, options ...option) *testGateway {
+	t.Helper()
+	return startLoggedGateway(t, discardLog, addrs, options...)
+}
+
+// startLoggedGateway runs a gateway like startGateway and sends its log to the given one.
+func startLoggedGateway(t *testing.T, log *slog.Logger, addrs []string, options ...option) *testGateway {
 	t.Helper()
 	gateway := &testGateway{t: t, listUpdates: make(chan endpoint.List), watches: make(chan string, 16)}
 	disco := httptest.NewServer(http.HandlerFunc(gateway.serveWatch))
@@ -60,7 +66,7 @@
 	for _, apply := range options {
 		apply(cfg, t)
 	}
-	server, err := New(cfg, discardLog)
+	server, err := New(cfg, log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/undetecteddisconnect_test.go
+++ b/internal/gateway/undetecteddisconnect_test.go
@@ -120,7 +120,7 @@
 	backend := test.acceptWritten(first)
 	backend.write("*1\r\n$1\r\nx\r\n")
 	runTasksUntil(test.t, test.server, func() bool { return len(test.server.upstream.pools["s-0"].idle) == 1 })
-	test.server.requests.answer(first.request, nil)
+	test.server.requests.serve(first.request, nil)
 	test.disconnect()
 	test.startAttempt()
 	return backend
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"time"
 
 	"bellwood/internal/gateway/budget"
@@ -15,8 +16,8 @@
 
 // attemptOwner is the part of requestTable that upstream calls: it owns the requests whose attempts upstream sends.
 type attemptOwner interface {
-	// answer sends a request's final reply to the client, which ends the request.
-	answer(request *openRequest, text []byte)
+	// serve sends a backend's value to the client, which ends the request.
+	serve(request *openRequest, value []byte)
 	// attemptEnded reports the result of an attempt. Only the first result of an attempt counts.
 	attemptEnded(attempt *backendAttempt, result attemptResult)
 	// clientDisconnected ends the request of a client that has disconnected.
@@ -34,6 +35,7 @@
 type upstream struct {
 	loop               taskLoop
 	owner              attemptOwner
+	trace              trace
 	dialTimeout        time.Duration
 	backendIdleTimeout time.Duration // after which backends close an idle connection; 0: never
 	reuseDelay         time.Duration // see the constant reuseDelay
@@ -44,8 +46,8 @@
 	maxConns  int
 }
 
-func newUpstream(loop taskLoop, owner attemptOwner, cfg *Config) *upstream {
-	return &upstream{loop: loop, owner: owner, dialTimeout: cfg.Transport.DialTimeout,
+func newUpstream(loop taskLoop, owner attemptOwner, cfg *Config, log *slog.Logger) *upstream {
+	return &upstream{loop: loop, owner: owner, trace: trace{log}, dialTimeout: cfg.Transport.DialTimeout,
 		backendIdleTimeout: cfg.Transport.ConnIdleTimeout, reuseDelay: cmp.Or(cfg.reuseDelay, reuseDelay),
 		maxRequestCost: cfg.Settings.MaxRequestCost, pools: map[string]*backendPool{},
 		maxConns: budget.BackendConns(cfg.Sockets)}
@@ -58,9 +60,10 @@
 		pool = newBackendPool(endpoint.Name)
 		up.pools[endpoint.Name] = pool
 	}
+	up.trace.backendChanged(endpoint, addr)
 	if pool.updateProcess(addr, endpoint.Started) {
-		up.closeIdleSince(pool, up.loop.now())
-		up.cancelDials(pool)
+		up.closeIdleSince(pool, up.loop.now(), backendReplaced)
+		up.cancelDials(pool, backendReplaced)
 	}
 	if pool.inService = endpoint.State == policy.InService; !pool.inService {
 		up.takeOutOfService(pool)
@@ -76,8 +79,8 @@
 // policy.Settings.MaxAttempts. Because the result reaches the engine before the EndpointUpdate of the same Step, the
 // retry may even select the same backend again. Tested by TestAttemptEndedDuringDialIsNotWritten.
 func (up *upstream) takeOutOfService(pool *backendPool) {
-	up.closeIdleSince(pool, up.loop.now())
-	up.cancelDials(pool)
+	up.closeIdleSince(pool, up.loop.now(), backendOutOfService)
+	up.cancelDials(pool, backendOutOfService)
 	up.removeIfUnused(pool)
 }
 
@@ -108,7 +111,7 @@
 		status = policy.ConnectFailed
 	}
 	up.closeIdleIfUnresponsive(conn.pool, attempt.startedAt)
-	up.dropConn(conn, status)
+	up.dropConn(conn, status, attemptTimedOut)
 }
 
 // endIfClientDisconnected ends the request of an attempt if its client has disconnected, and reports whether it has.
@@ -132,7 +135,7 @@
 // that have been idle since then are closed, so that the next attempts dial.
 func (up *upstream) closeIdleIfUnresponsive(pool *backendPool, since time.Duration) {
 	if pool.lastReplyAt < since {
-		up.closeIdleSince(pool, since)
+		up.closeIdleSince(pool, since, backendUnresponsive)
 	}
 }
 
@@ -145,7 +148,7 @@
 	if attempt.conn.writeState.Load() == commandUnsent {
 		status = policy.NotSent
 	}
-	up.dropConn(attempt.conn, status)
+	up.dropConn(attempt.conn, status, attemptCancelled)
 }
 
 // startHealthCheck sends a health check to a backend. It closes the backend's idle connections first, because the check
@@ -157,7 +160,7 @@
 		up.healthCheckEnded(check, policy.NotSent)
 		return
 	}
-	up.closeIdleSince(pool, up.loop.now())
+	up.closeIdleSince(pool, up.loop.now(), backendHealthCheck)
 	conn := up.acquire(pool)
 	if conn == nil {
 		up.healthCheckEnded(check, policy.NotSent)
@@ -165,7 +168,7 @@
 	}
 	conn.healthCheck = check
 	check.timer = up.loop.addTimer(up.loop.now()+healthCheckTimeoutFactor*up.dialTimeout,
-		func() { up.dropConn(conn, policy.TimedOut) })
+		func() { up.dropConn(conn, policy.TimedOut, healthCheckTimedOut) })
 }
 
 // healthCheckEnded reports the result of a health check to the engine.
@@ -194,7 +197,7 @@
 		conn.pool.idle = append(conn.pool.idle, conn)
 	} else {
 		conn.pool.removeIdle(conn)
-		up.closeConn(conn)
+		up.closeConn(conn, backendNotReusable)
 		up.removeIfUnused(conn.pool)
 	}
 	if check != nil {
@@ -209,7 +212,7 @@
 // request, so the attempt's result reports the request as closed.
 func (up *upstream) endRepliedAttempt(attempt *backendAttempt, reply protocol.Reply) {
 	if reply.Status == policy.OK {
-		up.owner.answer(attempt.request, reply.Value)
+		up.owner.serve(attempt.request, reply.Value)
 	}
 	result := attemptResult{status: reply.Status, quotaUsage: reply.QuotaUsage}
 	if limit := up.maxRequestCost; limit == 0 || reply.Cost <= limit {
--- a/internal/gateway/upstreamconns.go
+++ b/internal/gateway/upstreamconns.go
@@ -50,7 +50,7 @@
 		}
 		pool.removeIdleAt(i)
 		if !conn.usable() {
-			up.closeConn(conn)
+			up.closeConn(conn, backendConnUnusable)
 			continue
 		}
 		conn.writeState.Store(commandUnsent)
@@ -70,20 +70,20 @@
 	}
 	if oldest != nil {
 		oldest.pool.idle = oldest.pool.idle[1:]
-		up.closeConn(oldest)
+		up.closeConn(oldest, backendConnEvicted)
 	}
 	return oldest != nil
 }
 
 // closeIdleSince closes the connections of a backend that have been idle since the given time or longer.
-func (up *upstream) closeIdleSince(pool *backendPool, since time.Duration) {
+func (up *upstream) closeIdleSince(pool *backendPool, since time.Duration, reason backendCloseReason) {
 	kept := pool.idle[:0]
 	for _, conn := range pool.idle {
 		if conn.idleSince > since {
 			kept = append(kept, conn)
 			continue
 		}
-		up.closeConn(conn)
+		up.closeConn(conn, reason)
 	}
 	clear(pool.idle[len(kept):])
 	pool.idle = kept
@@ -94,17 +94,18 @@
 	if up.backendIdleTimeout > 0 {
 		since := up.loop.now() - time.Duration(float64(up.backendIdleTimeout)*idleTimeoutShare)
 		for _, pool := range up.pools {
-			up.closeIdleSince(pool, since)
+			up.closeIdleSince(pool, since, backendConnExpired)
 		}
 	}
 }
 
 // closeConn closes a connection that carries no attempt or health check, or whose work has been detached. Closing the
 // socket or cancelling the dial ends the connection's goroutines.
-func (up *upstream) closeConn(conn *backendConn) {
+func (up *upstream) closeConn(conn *backendConn, reason backendCloseReason) {
 	if conn.closed {
 		return
 	}
+	up.trace.backendConnClosed(conn, reason)
 	conn.closed = true
 	up.connCount--
 	delete(conn.pool.conns, conn)
@@ -116,9 +117,9 @@
 
 // dropConn closes a connection and ends the attempt or health check on it with the given status. It closes the connection
 // first, because the next attempt must not be sent while this one could still receive a reply.
-func (up *upstream) dropConn(conn *backendConn, status policy.Status) {
+func (up *upstream) dropConn(conn *backendConn, status policy.Status, reason backendCloseReason) {
 	attempt, check := conn.detachWork()
-	up.closeConn(conn)
+	up.closeConn(conn, reason)
 	if attempt != nil {
 		up.owner.attemptEnded(attempt, attemptResult{status: status})
 	}
@@ -129,10 +130,10 @@
 }
 
 // cancelDials cancels the dials to a backend and ends the attempts and health checks waiting for them as policy.NotSent.
-func (up *upstream) cancelDials(pool *backendPool) {
+func (up *upstream) cancelDials(pool *backendPool, reason backendCloseReason) {
 	for conn := range pool.conns {
 		if conn.isDialing() {
-			up.dropConn(conn, policy.NotSent)
+			up.dropConn(conn, policy.NotSent, reason)
 		}
 	}
 }
@@ -140,7 +141,7 @@
 // cancelAllDials cancels the dials to all backends. The audit calls it when it takes the gateway out of service.
 func (up *upstream) cancelAllDials() {
 	for _, pool := range up.pools {
-		up.cancelDials(pool)
+		up.cancelDials(pool, gatewayOutOfService)
 	}
 }
 
--- a/internal/policy/action.go
+++ b/internal/policy/action.go
@@ -18,10 +18,14 @@
 type Reject struct {
 	ID         uint64
 	RetryAfter time.Duration // how long the client should wait before it retries; 0: no advice
+	Reason     RejectReason  // for the log
 }
 
 // Fail is the final answer that a request failed, without any promise about its effect.
-type Fail struct{ ID uint64 }
+type Fail struct {
+	ID     uint64
+	Reason RejectReason // for the log
+}
 
 // CancelAttempt stops waiting for an attempt. Its AttemptResult still follows.
 type CancelAttempt struct {
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -22,7 +22,7 @@
 	}
 	if !e.settings.hasClassAndPlan(ev.Class, ev.Plan) {
 		e.rejections.add(UnknownClassOrPlan)
-		e.emit(Reject{ID: ev.ID})
+		e.emit(Reject{ID: ev.ID, Reason: UnknownClassOrPlan})
 		return
 	}
 	r := &request{id: ev.ID, class: ev.Class, plan: ev.Plan, cost: max(0, ev.Cost), arrivedAt: e.now,
--- a/internal/policy/event.go
+++ b/internal/policy/event.go
@@ -1,6 +1,9 @@
 package policy
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Event is something that happened. Only the types of this file implement it.
 type Event interface{ event() }
@@ -48,6 +51,16 @@
 // mayHaveRun reports whether a backend may have acted on an attempt with this outcome.
 func (s Status) mayHaveRun() bool { return s != Rejected && s != ConnectFailed && s != NotSent }
 
+// String returns the outcome as text for tests and logs.
+func (s Status) String() string {
+	names := [...]string{"failed", "ok", "rejected", "timed out", "connect failed", "connection reset",
+		"cancelled", "not sent"}
+	if s < 0 || int(s) >= len(names) {
+		return fmt.Sprintf("Status(%d)", int(s))
+	}
+	return names[s]
+}
+
 // FirstByte reports that a streamed response has started; its deadline no longer applies.
 type FirstByte struct {
 	ID      uint64
@@ -106,6 +119,15 @@
 	Terminated
 )
 
+// String returns the state as text for tests and logs.
+func (s BackendState) String() string {
+	names := [...]string{"in service", "draining", "terminated"}
+	if s < 0 || int(s) >= len(names) {
+		return fmt.Sprintf("BackendState(%d)", int(s))
+	}
+	return names[s]
+}
+
 // HealthCheckResult is the result of one HealthCheck.
 type HealthCheckResult struct {
 	Backend string
--- a/internal/policy/rejection.go
+++ b/internal/policy/rejection.go
@@ -138,9 +138,9 @@
 	e.endRequest(r)
 	e.rejections.add(rej.reason)
 	if mayRunTwice {
-		e.emit(Fail{r.id})
+		e.emit(Fail{r.id, rej.reason})
 	} else {
-		e.emit(Reject{r.id, e.clientRetryAfter(rej)})
+		e.emit(Reject{r.id, e.clientRetryAfter(rej), rej.reason})
 	}
 	e.deleteIfDone(r)
 }
