Send nothing by a restarted gateway's configured list until discovery has confirmed it

A client whose request runs into the end of that backend loses it.

Cause: a new process took the list of its configuration for current. It answered PING and sent requests by that list from its first moment (server.go: Run, Apply and Ready; engine: no rule), while the agent, whose list counts as notified from the start of the process, was still being asked. Nothing bounded that time: with 0.17 of a core and thousands of backends, start and answer take over 250 ms.

Fix: the gateway reports that the list is behind (EndpointsBehind), and the engine withholds requests, first attempts, retries and queued ones, until the first list of discovery is applied (EndpointsCurrent), or until nothing has come from discovery for 3 s: a silent agent must not keep a gateway out of service. Requests that would wait for too long are rejected (EndpointsOutdated). PING fails until then. However late the answer, nothing is sent by the old list: the bound no longer depends on speed.

--- a/internal/emulator/agent.go
+++ b/internal/emulator/agent.go
@@ -120,18 +120,17 @@
 	return s
 }
 
-// sendUpdate sends the changes after an index, if there are any. It reports whether the connection is still usable.
+// sendUpdate sends the changes after an index; the first update of a watch may have none. It reports whether the connection
+// is still usable.
 func (s *watchStream) sendUpdate(a *Agent, index int64) bool {
 	s.lastLine = a.catalog.watchLineSince(index)
 	s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if s.lastLine.text != nil {
-		s.w.Write(s.lastLine.text)
-		s.w.Write([]byte("\n"))
-	}
+	s.w.Write(s.lastLine.text)
+	s.w.Write([]byte("\n"))
 	if s.controller.Flush() != nil {
 		return false
 	}
-	if s.lastLine.text != nil && a.onSent != nil {
+	if (s.lastLine.snapshot || s.lastLine.entries > 0) && a.onSent != nil {
 		a.onSent(WatchUpdate{Index: s.lastLine.index, Entries: s.lastLine.entries, Snapshot: s.lastLine.snapshot,
 			Bytes: len(s.lastLine.text) + 1, SentAt: time.Now(), GatewayAddr: s.gatewayAddr, AgentAddr: s.agentAddr})
 	}
--- a/internal/emulator/agent_test.go
+++ b/internal/emulator/agent_test.go
@@ -11,7 +11,8 @@
 	"testing"
 )
 
-// The agent serves the whole list. A watch gets the changes after its index, and empty lines while nothing changes.
+// The agent serves the whole list. A watch gets the changes after its index at once, even if there are none, and empty lines
+// while nothing changes.
 func TestAgentServesWholeListAndStreamsChanges(t *testing.T) {
 	catalog := NewCatalog([]Endpoint{{Name: "a", Status: Serving}, {Name: "b", Status: Serving}})
 	sent := make(chan WatchUpdate, 8)
@@ -27,6 +28,9 @@
 		t.Errorf("the whole list is %+v, want a snapshot of 2 endpoints at index 1", m)
 	}
 	watch, _ := get(t, url+"?stream=1&index=1")
+	if m := nextMembers(t, watch); m.Snapshot || m.Index != 1 || len(m.Endpoints) != 0 {
+		t.Errorf("the watch begins with %+v, want no changes since index 1", m)
+	}
 	catalog.Apply(Endpoint{Name: "b", Status: Draining})
 	if m := nextMembers(t, watch); m.Snapshot || m.Index != 2 || len(m.Endpoints) != 1 || m.Endpoints[0].Status != Draining {
 		t.Errorf("the watch gets %+v, want only the change of b at index 2", m)
--- a/internal/emulator/catalog.go
+++ b/internal/emulator/catalog.go
@@ -138,14 +138,15 @@
 
 // watchLine is an update to be sent on a watch.
 type watchLine struct {
-	text     []byte // JSON; nil: no change
+	text     []byte // JSON
 	index    int64  // of the list after the update
 	entries  int    // number of backends in the update
 	snapshot bool
 	changed  <-chan struct{} // closed at the next change
 }
 
-// watchLineSince returns the update to be sent on a watch that has received the list up to an index.
+// watchLineSince returns the update to be sent on a watch that has received the list up to an index. It has no entries if
+// nothing has changed since.
 func (c *Catalog) watchLineSince(index int64) watchLine {
 	update, changed := c.ChangesSince(index)
 	line := watchLine{index: update.Index, entries: len(update.Endpoints), snapshot: update.Snapshot, changed: changed}
@@ -154,7 +155,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		line.text, line.index, line.changed = c.cachedSnapshotJSON(), c.index, c.changed
-	case len(update.Endpoints) > 0:
+	default:
 		line.text, _ = json.Marshal(update)
 	}
 	return line
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -35,4 +35,6 @@
 	l.server.audit.versionAdopted(index, source)
 }
 
-func (l discoveryLoop) Ready() { l.server.ready.Store(true) }
+func (l discoveryLoop) EndpointsCurrent() { l.server.emit(policy.EndpointsCurrent{}) }
+
+func (l discoveryLoop) Ready() { l.server.backendDiscovered.Store(true) }
--- a/internal/gateway/discovery/client.go
+++ b/internal/gateway/discovery/client.go
@@ -203,10 +203,8 @@
 func (c *Client) watchUntilCancelled(ctx context.Context, address string, index int64) {
 	delay := reconnectDelay
 	for failures := 0; ctx.Err() == nil; failures++ {
-		openedFrom := index
-		var err error
-		index, err = c.watch(ctx, address, index)
-		if index != openedFrom {
+		applied, err := c.watch(ctx, address, &index)
+		if applied {
 			failures = 0
 		}
 		delay = nextReconnectDelay(delay, err)
@@ -236,30 +234,31 @@
 	return reconnectDelay
 }
 
-// watch opens a watch from an index and applies its lists until it ends. It returns the index of the last list applied
-// and the reason for the end.
-func (c *Client) watch(followCtx context.Context, address string, index int64) (int64, error) {
+// watch opens a watch from an index and applies its lists until it ends; index becomes that of the last list applied.
+// It reports whether a list was applied, and why the watch has ended.
+func (c *Client) watch(followCtx context.Context, address string, index *int64) (applied bool, err error) {
 	ctx, cancel := context.WithCancel(followCtx)
 	defer cancel()
 	idle := startIdleTimer(c.watchIdleTimeout, cancel)
 	defer idle.stop()
 	calledAt := time.Now()
-	body, err := c.get(ctx, fmt.Sprintf("%s?stream=1&index=%d", endpointsURL(address), index))
+	body, err := c.get(ctx, fmt.Sprintf("%s?stream=1&index=%d", endpointsURL(address), *index))
 	if err != nil {
-		return index, err
+		return false, err
 	}
 	defer body.Close()
-	c.log.Info("discovery watch opened", slog.String("address", address), slog.Int64("index", index),
+	c.log.Info("discovery watch opened", slog.String("address", address), slog.Int64("index", *index),
 		slog.Duration("after", time.Since(calledAt)))
 	receiver := c.newReceiver(body, idle)
+	receiver.isWatch = true
 	receiver.stillWanted = func() bool { return followCtx.Err() == nil }
 	receiver.onApplied = c.recordApplied
 	for {
 		list, err := receiver.next()
 		if err != nil {
-			return index, err
+			return applied, err
 		}
-		index = list.Index
+		*index, applied = list.Index, true
 	}
 }
 
--- a/internal/gateway/discovery/doc.go
+++ b/internal/gateway/discovery/doc.go
@@ -32,6 +32,8 @@
 	EmitUpdate(update policy.EndpointUpdate)
 	// ListApplied reports that the list or change with this index, received from discovery, has been applied completely.
 	ListApplied(index int64, snapshot bool)
+	// EndpointsCurrent reports that everything that the agent has sent has been applied.
+	EndpointsCurrent()
 	// Ready reports that a list has been applied completely and that some backend has been in service, in this list or
 	// an earlier one.
 	Ready()
--- a/internal/gateway/discovery/helpers_test.go
+++ b/internal/gateway/discovery/helpers_test.go
@@ -41,6 +41,8 @@
 
 func (l *testLoop) ListApplied(int64, bool) {}
 
+func (l *testLoop) EndpointsCurrent() {}
+
 func (l *testLoop) Ready() {}
 
 // runUntil runs tasks until a condition holds.
--- a/internal/gateway/discovery/receiver.go
+++ b/internal/gateway/discovery/receiver.go
@@ -23,6 +23,7 @@
 	idle        *idleTimer
 	stillWanted func() bool         // whether to go on applying the list; called on the loop before each batch
 	onApplied   func(endpoint.List) // called on the loop when a list has been applied; the list has no entries
+	isWatch     bool                // the response is a watch: its lists are all that the agent has
 	list        *openList           // the list being read; nil: opened with its first batch
 	entries     int                 // entries of that list so far
 	changes     int                 // backends that it has changed so far
@@ -97,9 +98,17 @@
 	r.onApplied(list)
 	r.client.table.close(r.list)
 	r.client.reportReady()
+	r.reportCurrent(list)
 	return true
 }
 
+// reportCurrent reports that a list has been applied: the next one of a watch, or a whole list.
+func (r *receiver) reportCurrent(list endpoint.List) {
+	if r.isWatch || list.Snapshot {
+		r.client.loop.EndpointsCurrent()
+	}
+}
+
 // apply applies entries of the list being read and returns the changes. It runs on the loop.
 func (r *receiver) apply(entries []endpoint.Entry) []policy.Backend {
 	changes := r.client.table.apply(r.list, entries)
--- a/internal/gateway/discovery/stream.go
+++ b/internal/gateway/discovery/stream.go
@@ -60,8 +60,8 @@
 				s.idle.reset()
 			}
 			n = copy(b, bytes.TrimLeft(b[:n], " \t\r\n"))
-			if s.betweenLists = n == 0; n > 0 {
-				s.listBegan = time.Now()
+			if n > 0 {
+				s.beginList()
 			}
 		}
 		if s.entryBytesLeft -= n; s.entryBytesLeft < 0 {
@@ -76,13 +76,19 @@
 	}
 }
 
+// beginList records that the first byte of a list has been read.
+func (s *stream) beginList() {
+	s.betweenLists, s.listBegan = false, time.Now()
+}
+
 // beginEntry resets the byte limit for the next entry.
 func (s *stream) beginEntry() { s.entryBytesLeft = maxEntryBytes }
 
 // endList records that a complete list has been read. ahead is the data already read after it.
 func (s *stream) endList(ahead []byte) {
 	s.beginEntry()
-	if s.betweenLists = len(bytes.TrimSpace(ahead)) == 0; !s.betweenLists {
-		s.listBegan = time.Now()
+	s.betweenLists = true
+	if len(bytes.TrimSpace(ahead)) > 0 {
+		s.beginList()
 	}
 }
--- a/internal/gateway/protocol/answer.go
+++ b/internal/gateway/protocol/answer.go
@@ -9,10 +9,11 @@
 // Replies to clients that the gateway itself gives. Values of backends are passed on as they are.
 const (
 	Pong              = "+PONG\r\n"
-	NoBackendKnown    = "-LOADING no backend is known yet\r\n" // to PING: requests would have to wait
-	OutOfService      = "-LOADING out of service\r\n"          // to PING: the audit has taken the gateway out of service
-	Failed            = "-ERR failed\r\n"                      // the request may have run, and must not be retried
-	NoAnswerInTime    = "-ERR no answer in time\r\n"           // the gateway has timed out; the request may have run
+	NoBackendKnown    = "-LOADING no backend is known yet\r\n"                // to PING: requests would have to wait
+	NotInSync         = "-LOADING the endpoint list is not confirmed yet\r\n" // to PING: discovery has not answered yet
+	OutOfService      = "-LOADING out of service\r\n"                         // to PING: the audit has taken the gateway out of service
+	Failed            = "-ERR failed\r\n"                                     // the request may have run, and must not be retried
+	NoAnswerInTime    = "-ERR no answer in time\r\n"                          // the gateway has timed out; the request may have run
 	IDInUse           = "-ERR the id is that of an open request\r\n"
 	ProtocolError     = "-ERR Protocol error\r\n"
 	NotBulkStrings    = "-ERR Protocol error: expected an array of bulk strings\r\n"
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -58,8 +58,9 @@
 	log    *slog.Logger
 	engine *policy.Engine
 
-	ready     atomic.Bool // at least one backend in service has been discovered; never reset
-	suspended atomic.Bool // the fleet audit has taken the gateway out of service
+	backendDiscovered atomic.Bool // at least one backend in service has been discovered; never reset
+	endpointsUsable   atomic.Bool // the engine uses the endpoint list; never reset
+	suspended         atomic.Bool // the fleet audit has taken the gateway out of service
 
 	watchdog   watchdog.Watchdog
 	requests   *requestTable
@@ -104,6 +105,7 @@
 func (server *Server) Run(ctx context.Context, ln net.Listener) {
 	defer close(server.done)
 	defer ln.Close()
+	server.emit(policy.EndpointsBehind{}) // the agent may have had changes since before the start
 	server.discovery.Apply(server.cfg.Known.Endpoints, policy.CachedSnapshot)
 	server.audit.start()
 	server.step() // passes the endpoint list of the configuration to the engine
@@ -142,8 +144,10 @@
 // pingReply returns the reply to PING, which tells a client whether the gateway serves requests.
 func (server *Server) pingReply() string {
 	switch {
-	case !server.ready.Load():
+	case !server.backendDiscovered.Load():
 		return protocol.NoBackendKnown
+	case !server.endpointsUsable.Load():
+		return protocol.NotInSync
 	case server.suspended.Load():
 		return protocol.OutOfService
 	}
@@ -251,6 +255,8 @@
 	case policy.WatchEndpoints, policy.FetchEndpoints:
 		// The gateway keeps a watch open at all times, so both actions are executed as a fetch.
 		server.discovery.Fetch()
+	case policy.EndpointsUsable:
+		server.endpointsUsable.Store(true)
 	case policy.Log:
 		server.log.Info(action.Text)
 	}
--- a/internal/gateway/serverwithoutloop_test.go
+++ b/internal/gateway/serverwithoutloop_test.go
@@ -109,3 +109,9 @@
 		}
 	}
 }
+
+// setReady makes a gateway answer PING as one that serves requests.
+func setReady(server *Server) {
+	server.backendDiscovered.Store(true)
+	server.endpointsUsable.Store(true)
+}
--- a/internal/policy/action.go
+++ b/internal/policy/action.go
@@ -56,16 +56,21 @@
 // FetchEndpoints requests the whole endpoint list once.
 type FetchEndpoints struct{}
 
+// EndpointsUsable reports that attempts are started again after EndpointsBehind: the list is current, or
+// discovery has not answered for too long.
+type EndpointsUsable struct{}
+
 // Log is a log line for operators.
 type Log struct{ Text string }
 
-func (SendAttempt) action()    {}
-func (Reject) action()         {}
-func (Fail) action()           {}
-func (CancelAttempt) action()  {}
-func (HealthCheck) action()    {}
-func (AddToCounter) action()   {}
-func (SetTimer) action()       {}
-func (WatchEndpoints) action() {}
-func (FetchEndpoints) action() {}
-func (Log) action()            {}
+func (SendAttempt) action()     {}
+func (Reject) action()          {}
+func (Fail) action()            {}
+func (CancelAttempt) action()   {}
+func (HealthCheck) action()     {}
+func (AddToCounter) action()    {}
+func (SetTimer) action()        {}
+func (WatchEndpoints) action()  {}
+func (FetchEndpoints) action()  {}
+func (EndpointsUsable) action() {}
+func (Log) action()             {}
--- a/internal/policy/attempt.go
+++ b/internal/policy/attempt.go
@@ -5,7 +5,7 @@
 // send starts an attempt. It is the only method that emits SendAttempt. It repeats all checks, whatever
 // was decided earlier, and may instead reject the request or dispatch it to another backend.
 func (e *Engine) send(r *request, b *backend, kind attemptKind) {
-	if !b.inService { // no new attempts once it is known to be draining
+	if !b.inService || e.sync.withholds(e.now) { // no new attempts once it is, or may be, known to be draining
 		e.dispatch(r)
 		return
 	}
--- a/internal/policy/dispatch.go
+++ b/internal/policy/dispatch.go
@@ -29,9 +29,13 @@
 )
 
 // dispatch queues a request at a backend and then sends whatever that backend has free slots for.
-// Alternatively, the request is sent immediately as a probe, kept until a backend is available, or
-// rejected.
+// Alternatively, the request is sent immediately as a probe, kept until a backend is available or the
+// endpoint list is current, or rejected.
 func (e *Engine) dispatch(r *request) {
+	if e.sync.withholds(e.now) {
+		e.withhold(r)
+		return
+	}
 	if b := e.backendToProbe(r); b != nil {
 		e.send(r, b, probeRequest)
 		return
@@ -99,7 +103,7 @@
 
 // sendQueued sends queued requests to a backend while it can take more.
 func (e *Engine) sendQueued(b *backend) {
-	for b.usable() && e.canSendTo(b) {
+	for !e.sync.withholds(e.now) && b.usable() && e.canSendTo(b) {
 		from := e.queueToServe(b)
 		if from == nil {
 			return
@@ -193,7 +197,8 @@
 	e.queues.prune()
 }
 
-// dispatchUnplaced dispatches again the requests for which no backend was available.
+// dispatchUnplaced dispatches again the requests for which no backend was available, and those that were
+// withheld.
 func (e *Engine) dispatchUnplaced() {
 	for _, r := range e.queues.takeUnplaced() {
 		if !r.ended {
--- a/internal/policy/doc.go
+++ b/internal/policy/doc.go
@@ -61,6 +61,7 @@
 //	ejecting and restoring backends                      outlier.go, package outlier
 //	slow start of a started backend                      slowstart.go, package slowstart
 //	the list of backends                                 endpoints.go
+//	what may be sent while the list is outdated          endpointsync.go
 //	the subset that this gateway uses                    subset.go, package internal/subset
 //	the backend for a request                            selection.go
 //	what is rejected under overload                      dispatch.go
--- a/internal/policy/engine.go
+++ b/internal/policy/engine.go
@@ -33,6 +33,7 @@
 
 	endpoints  endpointRegistry
 	polling    endpointPolling
+	sync       endpointSync
 	subset     backendSubset
 	latencies  *latency.Estimator
 	throughput throughput.Meter
@@ -122,6 +123,10 @@
 		e.timerDue(ev)
 	case EndpointUpdate:
 		e.endpointsUpdated(ev)
+	case EndpointsBehind:
+		e.endpointsBehind(ev)
+	case EndpointsCurrent:
+		e.endpointsCurrent()
 	case HealthCheckResult:
 		e.healthChecked(ev)
 	case Suspend:
--- a/internal/policy/event.go
+++ b/internal/policy/event.go
@@ -87,6 +87,15 @@
 	Backends []Backend
 }
 
+// EndpointsBehind reports that discovery may have changes of the endpoint list that were not reported to the
+// engine yet. EndpointsCurrent follows once they were.
+type EndpointsBehind struct {
+	Since time.Duration // when discovery may have had the first of them; 0: unknown
+}
+
+// EndpointsCurrent reports that the engine has all changes of the endpoint list that discovery has sent.
+type EndpointsCurrent struct{}
+
 // UpdateKind is the kind of an EndpointUpdate.
 type UpdateKind int
 
@@ -148,6 +157,8 @@
 func (CounterResult) event()     {}
 func (Timer) event()             {}
 func (EndpointUpdate) event()    {}
+func (EndpointsBehind) event()   {}
+func (EndpointsCurrent) event()  {}
 func (HealthCheckResult) event() {}
 func (Suspend) event()           {}
 func (PeerMessage) event()       {}
--- a/internal/policy/periodic.go
+++ b/internal/policy/periodic.go
@@ -16,6 +16,7 @@
 // that can be sent or served now, idle tenants to be evicted, and an outdated endpoint list.
 func (e *Engine) periodicCheck() {
 	e.emit(SetTimer{e.now + checkInterval, checkCookie})
+	e.checkSync()
 	e.checkBackends()
 	e.endSlowStarts()
 	e.dispatchUnplaced()
--- a/internal/policy/rejection.go
+++ b/internal/policy/rejection.go
@@ -9,8 +9,9 @@
 //     OverConcurrencyLimit before OverHardLimit, then the quota (payOrDemote) with OverQuota. All three
 //     lead to placeOverQuota: if the plan earns something beyond its quota, the request proceeds at the
 //     lowest level or ends with OverHardLimit.
-//  3. dispatch: NoBackendForRetry; then checkOverload, which gives BackendsOverloaded only if the chosen
-//     backend has a free slot, and QueueTooLong only if it has none and the request has had no attempt.
+//  3. dispatch: EndpointsOutdated (withhold); NoBackendForRetry; then checkOverload, which gives
+//     BackendsOverloaded only if the chosen backend has a free slot, and QueueTooLong only if it has none and
+//     the request has had no attempt.
 //  4. In the queue, rejectStale: StaleInQueue.
 //  5. send: attemptForbidden with OutOfService, AttemptInFlight, AttemptsExhausted, NoBackendForRetry or
 //     DeadlinePassed; then, for a first attempt, spendHardLimit with OverHardLimit.
@@ -51,6 +52,9 @@
 	// OverQuota: neither leased nor fallback tokens pay for the request, it may not go on credit, and
 	// its plan earns nothing beyond the quota (payCost, placeOverQuota).
 	OverQuota
+	// EndpointsOutdated: discovery has changes of the endpoint list that this gateway has not applied, and the
+	// answer is expected after 45% of the deadline budget or more (withhold).
+	EndpointsOutdated
 	// BackendsOverloaded: the backends' latency indicates queues inside the backends, so a fraction of
 	// the requests is rejected at random, more of them at lower priority levels (checkOverload,
 	// shedByLatency).
@@ -97,6 +101,8 @@
 		return "over hard limit"
 	case OverQuota:
 		return "over quota"
+	case EndpointsOutdated:
+		return "endpoint list outdated"
 	case BackendsOverloaded:
 		return "backends overloaded"
 	case QueueTooLong:
--- a/internal/policy/rejection_test.go
+++ b/internal/policy/rejection_test.go
@@ -104,6 +104,12 @@
 			engine.send(engine.requests[1], engine.endpoints.byName[s.Backend], ordinary)
 			return engine, engine.actions
 		}},
+	{name: "discovery has not confirmed the list in time", reason: EndpointsOutdated,
+		run: func(t *testing.T) (*Engine, []Action) {
+			engine := startBehind(t)
+			engine.Step(ms, []Event{testRequest(1, idempotentClass, noQuotaPlan)})
+			return engine, runChecks(engine, 2*ms, 250*ms)
+		}},
 	{name: "every attempt fails to connect", reason: AttemptsExhausted,
 		run: func(t *testing.T) (*Engine, []Action) {
 			engine := newTestEngine(t, testSettings(), testBackends(4)...)
--- a/internal/policy/settings.go
+++ b/internal/policy/settings.go
@@ -25,7 +25,7 @@
 	PollInterval      time.Duration // with PollEndpoints: the maximum age of the list
 
 	ResponseGrace     time.Duration // not used by the engine: how long after the deadline an answer still counts
-	DrainGrace        time.Duration // not used by the engine: it sends nothing to a draining backend
+	DrainGrace        time.Duration // after discovery has a drain, attempts may still be sent this long
 	OverloadMultiple  float64       // a warming backend fails at this multiple of its current capacity
 	OverloadWindow    time.Duration // how long that load must last for it to fail
 	SlowStartMinShare float64       // share of its capacity that a started backend has at least
