Send nothing by the old list while discovery's new one takes long to be read

Found by looking for the drain incident's mistake in related code; no caller has reported it. What callers would see: a request at a backend that drains, over 300 ms after its gateway was notified, at gateways that were running all the time.

Cause, the same class: a gateway acts on a list that it knows to be replaced, for as long as reading the new one takes.

Fix: the client of discovery reports the first object of a list (EndpointsBehind) with the end of the watch before it, or the list's first byte, as the time since when the agent may have had it. From the drain's grace less a pause of 150 ms on, the engine withholds requests and has dials cancelled (CancelUnsent), until the list is applied. Lists that are never complete end that after 6 s, a silent discovery after 3 s, once until a list was applied; a pause of the process does not count as silence.

--- a/internal/gateway/audit.go
+++ b/internal/gateway/audit.go
@@ -243,7 +243,7 @@
 	s.suspended.Store(out)
 	s.emit(policy.Suspend{On: out})
 	if out {
-		s.upstream.cancelAllDials()
+		s.upstream.cancelAllDials(gatewayOutOfService)
 	}
 }
 
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"bellwood/internal/audit"
 	"bellwood/internal/gateway/discovery"
 	"bellwood/internal/policy"
@@ -35,6 +37,10 @@
 	l.server.audit.versionAdopted(index, source)
 }
 
+func (l discoveryLoop) EndpointsBehind(since time.Time, partApplied bool) {
+	l.server.emit(policy.EndpointsBehind{Since: l.server.now() - time.Since(since), PartReceived: partApplied})
+}
+
 func (l discoveryLoop) EndpointsCurrent() { l.server.emit(policy.EndpointsCurrent{}) }
 
 func (l discoveryLoop) Ready() { l.server.backendDiscovered.Store(true) }
--- a/internal/gateway/discovery/client.go
+++ b/internal/gateway/discovery/client.go
@@ -81,6 +81,7 @@
 	table            *table
 	address          string
 	index            int64 // of the last list or change applied
+	watchBehind      bool  // a list or change from the watch has begun and has not been applied
 	// followCtx is cancelled by Follow and Stop. Entries that a call started under it reads afterwards are not applied; the
 	// next watch delivers them, as it starts from the index applied last. The context is both cancelled and checked on the
 	// event loop, so no batch of a superseded list is applied after the first batch of its successor.
@@ -202,11 +203,15 @@
 // watchUntilCancelled opens watches, one after another, until the context is cancelled.
 func (c *Client) watchUntilCancelled(ctx context.Context, address string, index int64) {
 	delay := reconnectDelay
+	var lostAt time.Time
 	for failures := 0; ctx.Err() == nil; failures++ {
-		applied, err := c.watch(ctx, address, &index)
+		applied, err := c.watch(ctx, address, &index, lostAt)
 		if applied {
 			failures = 0
 		}
+		if applied || lostAt.IsZero() {
+			lostAt = time.Now()
+		}
 		delay = nextReconnectDelay(delay, err)
 		c.logWatchEnd(failures, &CallError{"watch", address, err})
 		select {
@@ -235,8 +240,9 @@
 }
 
 // watch opens a watch from an index and applies its lists until it ends; index becomes that of the last list applied.
-// It reports whether a list was applied, and why the watch has ended.
-func (c *Client) watch(followCtx context.Context, address string, index *int64) (applied bool, err error) {
+// lostAt is when the watch before ended; zero: there was none. It reports whether a list was applied, and why the watch
+// has ended.
+func (c *Client) watch(followCtx context.Context, address string, index *int64, lostAt time.Time) (applied bool, err error) {
 	ctx, cancel := context.WithCancel(followCtx)
 	defer cancel()
 	idle := startIdleTimer(c.watchIdleTimeout, cancel)
@@ -250,7 +256,7 @@
 	c.log.Info("discovery watch opened", slog.String("address", address), slog.Int64("index", *index),
 		slog.Duration("after", time.Since(calledAt)))
 	receiver := c.newReceiver(body, idle)
-	receiver.isWatch = true
+	receiver.isWatch, receiver.lostAt = true, lostAt
 	receiver.stillWanted = func() bool { return followCtx.Err() == nil }
 	receiver.onApplied = c.recordApplied
 	for {
--- a/internal/gateway/discovery/client_test.go
+++ b/internal/gateway/discovery/client_test.go
@@ -157,3 +157,31 @@
 		}
 	}
 }
+
+// While a list of a watch is being read, the client is behind since the watch before it ended, or since the list began.
+func TestClientIsBehindWhileAListIsBeingRead(t *testing.T) {
+	client, loop := newTestClient(t)
+	agent := discoverytest.NewAgent(t)
+	client.Follow(agent.Address())
+	watch, _ := loop.runUntilWatch(agent)
+	list := discoverytest.Line(t, discoverytest.Fleet(2, 4))
+	began := time.Now()
+	watch.Chunk(list[:len(list)/2])
+	loop.runUntil(func() bool { return !loop.behindSince.IsZero() })
+	if loop.behindSince.Before(began) {
+		t.Errorf("behind since %v before the list began", began.Sub(loop.behindSince))
+	}
+	watch.Chunk(list[len(list)/2:])
+	loop.runUntil(func() bool { return loop.behindSince.IsZero() })
+	watch.Reset()
+	lost := time.Now()
+	watch, _ = loop.runUntilWatch(agent)
+	time.Sleep(3 * reconnectDelay)
+	watch.Chunk(list[:len(list)/2])
+	loop.runUntil(func() bool { return !loop.behindSince.IsZero() })
+	if since := loop.behindSince.Sub(lost); since > reconnectDelay {
+		t.Errorf("behind since %v after the watch ended, want since its end", since)
+	}
+	watch.Chunk(list[len(list)/2:])
+	loop.runUntil(func() bool { return loop.behindSince.IsZero() })
+}
--- a/internal/gateway/discovery/decoder.go
+++ b/internal/gateway/discovery/decoder.go
@@ -44,6 +44,8 @@
 // consumer receives the entries of a list from a decoder, on the decoding goroutine, which it may block. If it returns an
 // error, the decoder stops and returns that error.
 type consumer interface {
+	// listBegan reports that a list is being read, before any of its entries.
+	listBegan()
 	// batch receives entries other than the last ones of the list. They are valid until it returns.
 	batch(entries []endpoint.Entry) error
 	// lastBatch receives the remaining entries. Of list, only Index and Snapshot are set. They come this late because they
@@ -89,6 +91,7 @@
 	if err := d.expectDelim('{'); err != nil {
 		return endpoint.List{}, err
 	}
+	d.consumer.listBegan()
 	var fields listFields
 	for d.json.More() {
 		d.stream.beginEntry()
--- a/internal/gateway/discovery/doc.go
+++ b/internal/gateway/discovery/doc.go
@@ -16,7 +16,11 @@
 // at its idle timeout.
 package discovery
 
-import "bellwood/internal/policy"
+import (
+	"time"
+
+	"bellwood/internal/policy"
+)
 
 // EventLoop is the part of the gateway's event loop that the package uses. Post and Done may be called from any
 // goroutine; the other methods are called on the loop's goroutine, within a posted task or a method of Client.
@@ -32,6 +36,9 @@
 	EmitUpdate(update policy.EndpointUpdate)
 	// ListApplied reports that the list or change with this index, received from discovery, has been applied completely.
 	ListApplied(index int64, snapshot bool)
+	// EndpointsBehind reports that the agent has entries that have not been applied, since the given time or longer, and
+	// whether a part of them has been.
+	EndpointsBehind(since time.Time, partApplied bool)
 	// EndpointsCurrent reports that everything that the agent has sent has been applied.
 	EndpointsCurrent()
 	// Ready reports that a list has been applied completely and that some backend has been in service, in this list or
--- a/internal/gateway/discovery/helpers_test.go
+++ b/internal/gateway/discovery/helpers_test.go
@@ -13,11 +13,12 @@
 
 // testLoop is an EventLoop that records the calls to it. The test runs its tasks explicitly.
 type testLoop struct {
-	t       testing.TB
-	tasks   chan func()
-	done    chan struct{}
-	updates []policy.EndpointUpdate // since the test last cleared it
-	pools   map[string]string       // addresses of the backends in service, by name
+	t           testing.TB
+	tasks       chan func()
+	done        chan struct{}
+	updates     []policy.EndpointUpdate // since the test last cleared it
+	pools       map[string]string       // addresses of the backends in service, by name
+	behindSince time.Time               // of the last EndpointsBehind; zero: EndpointsCurrent came after it
 }
 
 func (l *testLoop) Post(task func()) {
@@ -41,7 +42,9 @@
 
 func (l *testLoop) ListApplied(int64, bool) {}
 
-func (l *testLoop) EndpointsCurrent() {}
+func (l *testLoop) EndpointsBehind(since time.Time, _ bool) { l.behindSince = since }
+
+func (l *testLoop) EndpointsCurrent() { l.behindSince = time.Time{} }
 
 func (l *testLoop) Ready() {}
 
--- a/internal/gateway/discovery/receiver.go
+++ b/internal/gateway/discovery/receiver.go
@@ -24,6 +24,8 @@
 	stillWanted func() bool         // whether to go on applying the list; called on the loop before each batch
 	onApplied   func(endpoint.List) // called on the loop when a list has been applied; the list has no entries
 	isWatch     bool                // the response is a watch: its lists are all that the agent has
+	lostAt      time.Time           // when the watch before ended, if no list has been applied since; zero: not at all
+	behindSince time.Time           // since when the agent may have had the list being read
 	list        *openList           // the list being read; nil: opened with its first batch
 	entries     int                 // entries of that list so far
 	changes     int                 // backends that it has changed so far
@@ -51,10 +53,38 @@
 	return list, err
 }
 
+// listBegan implements consumer: it reports to the loop that the agent has a list that is not applied yet. Reading and
+// applying it may take longer than requests may still be sent to a backend that drains according to it.
+func (r *receiver) listBegan() {
+	if !r.isWatch {
+		return
+	}
+	r.behindSince = r.decoder.stream.listBegan
+	if !r.lostAt.IsZero() {
+		r.behindSince = r.lostAt
+	}
+	r.client.loop.Post(func() {
+		if r.stillWanted() {
+			r.reportBehind(false)
+		}
+	})
+}
+
+// reportBehind reports that the list being read is not applied yet, and whether a part of it is. It runs on the loop.
+func (r *receiver) reportBehind(partApplied bool) {
+	if r.isWatch {
+		r.client.watchBehind = true
+		r.client.loop.EndpointsBehind(r.behindSince, partApplied)
+	}
+}
+
 // batch implements consumer: it has the loop apply entries other than the last ones of a list.
 func (r *receiver) batch(entries []endpoint.Entry) error {
 	for chunk := range slices.Chunk(entries, batchSize) {
-		err := r.runOnLoop(func() { r.client.update(r.apply(chunk)) })
+		err := r.runOnLoop(func() {
+			r.reportBehind(true)
+			r.client.update(r.apply(chunk))
+		})
 		if err != nil {
 			return err
 		}
@@ -102,9 +132,13 @@
 	return true
 }
 
-// reportCurrent reports that a list has been applied: the next one of a watch, or a whole list.
+// reportCurrent reports that a list has been applied: the next one of a watch, or a whole list while none of a watch is in
+// progress.
 func (r *receiver) reportCurrent(list endpoint.List) {
-	if r.isWatch || list.Snapshot {
+	if r.isWatch {
+		r.lostAt, r.client.watchBehind = time.Time{}, false
+	}
+	if r.isWatch || list.Snapshot && !r.client.watchBehind {
 		r.client.loop.EndpointsCurrent()
 	}
 }
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -191,3 +192,48 @@
 	}
 	t.Error("the gateway read a list of 64 MiB without ending the watch")
 }
+
+// After a watch was reset, the agent sends the whole list again, which leaves out a backend that drains. Until the end of the
+// list nothing says which backend that is. Attempts are withheld then, and those that wait for a connection are cancelled.
+func TestNoRequestIsSentWhileAWholeListIsBeingRead(t *testing.T) {
+	serving, drained := listen(t), listen(t)
+	agent := discoverytest.NewAgent(t)
+	gateway := startGateway(t, nil, func(c *Config, t *testing.T) {
+		c.Discovery, c.watchIdleTimeout = agent.Address(), testTimeout
+		c.Known = endpointList(1, serving.Addr().String(), drained.Addr().String())
+	})
+	watch, _ := agent.Watch()
+	watch.Chunk(discoverytest.Line(t, gateway.server.cfg.Known))
+	gateway.waitUntil(gateway.server.endpointsUsable.Load)
+	requests := [2]<-chan forwardedRequest{emulateBackend(t, serving), emulateBackend(t, drained)}
+	watch.Reset()
+	lost := time.Now()
+	watch, _ = agent.Watch()
+	whole := discoverytest.Line(t, endpointList(2, serving.Addr().String()))
+	half := len(whole) / 2
+	watch.Chunk(whole[:half])
+	grace := gateway.server.cfg.Settings.DrainGrace
+	time.Sleep(grace - time.Since(lost))
+	client := gateway.dial()
+	for i := range 3 {
+		client.sendRequest(fmt.Sprint("r", i))
+	}
+	select {
+	case request := <-requests[0]:
+		t.Errorf("request %s was sent before the list was complete", request.id)
+	case request := <-requests[1]:
+		t.Errorf("request %s was sent to a backend that drains", request.id)
+	case <-time.After(100 * time.Millisecond):
+	}
+	watch.Chunk(whole[half:])
+	for range 3 {
+		select {
+		case request := <-requests[0]:
+			request.replyWithValue()
+		case request := <-requests[1]:
+			t.Errorf("request %s was sent to a backend that drains", request.id)
+		case <-time.After(testTimeout):
+			t.Fatal("a request was not sent once the list was complete")
+		}
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -255,6 +255,8 @@
 	case policy.WatchEndpoints, policy.FetchEndpoints:
 		// The gateway keeps a watch open at all times, so both actions are executed as a fetch.
 		server.discovery.Fetch()
+	case policy.CancelUnsent:
+		server.upstream.cancelAllDials(endpointsOutdated)
 	case policy.EndpointsUsable:
 		server.endpointsUsable.Store(true)
 	case policy.Log:
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -124,6 +124,7 @@
 	attemptTooLate        backendCloseReason = "too late to send"
 	healthCheckTimedOut   backendCloseReason = "health check timed out"
 	gatewayOutOfService   backendCloseReason = "gateway out of service"
+	endpointsOutdated     backendCloseReason = "endpoint list outdated"
 )
 
 // clientCloseReason says why a client's connection was closed.
--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -143,6 +143,9 @@
 		},
 		"cancel":     cancelAttempt,
 		"disconnect": disconnectClient,
+		"endpoint list outdated": func(server *Server, _ *backendAttempt, _ *peer) {
+			server.executeAction(policy.CancelUnsent{})
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ln := listen(t)
--- a/internal/gateway/upstreamconns.go
+++ b/internal/gateway/upstreamconns.go
@@ -138,10 +138,10 @@
 	}
 }
 
-// cancelAllDials cancels the dials to all backends. The audit calls it when it takes the gateway out of service.
-func (up *upstream) cancelAllDials() {
+// cancelAllDials cancels the dials to all backends.
+func (up *upstream) cancelAllDials(reason backendCloseReason) {
 	for _, pool := range up.pools {
-		up.cancelDials(pool, gatewayOutOfService)
+		up.cancelDials(pool, reason)
 	}
 }
 
--- a/internal/policy/action.go
+++ b/internal/policy/action.go
@@ -56,6 +56,10 @@
 // FetchEndpoints requests the whole endpoint list once.
 type FetchEndpoints struct{}
 
+// CancelUnsent cancels all attempts whose command has not begun to be sent, such as those whose connection is
+// still being dialed. They end as NotSent.
+type CancelUnsent struct{}
+
 // EndpointsUsable reports that attempts are started again after EndpointsBehind: the list is current, or
 // discovery has not answered for too long.
 type EndpointsUsable struct{}
@@ -72,5 +76,6 @@
 func (SetTimer) action()        {}
 func (WatchEndpoints) action()  {}
 func (FetchEndpoints) action()  {}
+func (CancelUnsent) action()    {}
 func (EndpointsUsable) action() {}
 func (Log) action()             {}
--- a/internal/policy/endpoints.go
+++ b/internal/policy/endpoints.go
@@ -17,7 +17,6 @@
 		return
 	}
 	e.polling.succeeded(e.now)
-	e.sync.progress(e.now)
 	e.endpoints.beginUpdate()
 	for i := range update.Backends {
 		e.applyEntry(&update.Backends[i])
--- a/internal/policy/endpointsync.go
+++ b/internal/policy/endpointsync.go
@@ -9,16 +9,23 @@
 const (
 	// maxPause is how long a gateway may be held up between a decision and the first byte that it sends.
 	maxPause = 150 * time.Millisecond
-	// maxSyncWait is how long attempts are withheld without any progress. Discovery may be down, and the last
-	// known list is then better than none. It covers a call that times out, and the call after it.
+	// maxSyncWait is how long attempts are withheld while no part of the list arrives, and maxSyncTime in all.
+	// Discovery may be down or broken, and the last known list is then better than none. The wait covers a call
+	// that times out, and the call after it.
 	maxSyncWait = 3 * time.Second
+	maxSyncTime = 6 * time.Second
+	// minExcludedPause is the shortest pause of the process that does not count towards them.
+	minExcludedPause = time.Second
 )
 
 // endpointSync tracks whether the endpoint list is behind discovery.
 type endpointSync struct {
 	behind       bool
+	behindAt     time.Duration // when it fell behind
 	withholdFrom time.Duration // while behind: no attempt is started from this time on
-	progressAt   time.Duration // of the last sign that the list is being received
+	unsentEnded  bool          // attempts started before withholdFrom and not sent by then have been cancelled
+	progressAt   time.Duration // when a part of the list was last received
+	gaveUp       bool          // attempts were withheld for too long: not again until a list was applied
 }
 
 // withholds reports whether no attempt may be started.
@@ -27,33 +34,60 @@
 // fallBehind records that discovery may have had further changes since the given time; 0: for longer than the
 // grace within which an attempt may still be sent to a draining backend.
 func (s *endpointSync) fallBehind(now, since, grace time.Duration) {
+	if s.gaveUp {
+		return
+	}
 	from := since
 	if since > 0 {
 		from += max(0, grace-maxPause)
 	}
-	if !s.behind || from < s.withholdFrom {
-		s.withholdFrom = from
+	if !s.behind {
+		s.behind, s.behindAt, s.progressAt, s.withholdFrom = true, now, now, from
 	}
-	s.behind, s.progressAt = true, now
+	s.withholdFrom = min(s.withholdFrom, from)
 }
 
 // progress records that a part of the list has been received.
 func (s *endpointSync) progress(now time.Duration) { s.progressAt = now }
 
+// excludePause extends the time for which attempts are withheld by a pause of this process, in which it could
+// not receive anything.
+func (s *endpointSync) excludePause(pause time.Duration) {
+	s.behindAt += pause
+	s.progressAt += pause
+}
+
 // catchUp records that nothing is missing, and reports whether that is a change.
 func (s *endpointSync) catchUp() (changed bool) {
-	changed, s.behind = s.behind, false
+	changed = s.behind
+	s.behind, s.unsentEnded, s.gaveUp = false, false, false
 	return changed
 }
 
-// stalled reports whether the list is behind and discovery has not sent any part of it for maxSyncWait.
-func (s *endpointSync) stalled(now time.Duration) bool {
-	return s.behind && now-s.progressAt >= maxSyncWait
+// mustCancelUnsent reports, once, that attempts that were started before withholdFrom may no longer be sent.
+func (s *endpointSync) mustCancelUnsent(now time.Duration) bool {
+	if !s.withholds(now) || s.unsentEnded {
+		return false
+	}
+	s.unsentEnded = true
+	return true
+}
+
+// giveUp reports whether the list has been behind for so long that it is used as it is, which it then is.
+func (s *endpointSync) giveUp(now time.Duration) bool {
+	if !s.behind || now-s.progressAt < maxSyncWait && now-s.behindAt < maxSyncTime {
+		return false
+	}
+	s.behind, s.unsentEnded, s.gaveUp = false, false, true
+	return true
 }
 
 // endpointsBehind handles the event of the same name.
 func (e *Engine) endpointsBehind(ev EndpointsBehind) {
 	e.sync.fallBehind(e.now, ev.Since, e.settings.DrainGrace)
+	if ev.PartReceived {
+		e.sync.progress(e.now)
+	}
 }
 
 // endpointsCurrent handles the event of the same name.
@@ -63,11 +97,16 @@
 	}
 }
 
-// checkSync uses the list as it is if discovery has sent nothing for too long. It is a part of the periodic
-// check.
+// checkSync cancels what has not been sent yet once attempts are withheld, and uses the list as it is if
+// discovery has sent nothing for too long. It is a part of the periodic check.
 func (e *Engine) checkSync() {
-	if e.sync.stalled(e.now) {
-		e.sync.catchUp()
+	if pause := e.now - max(e.checkedAt, e.startedAt); pause >= minExcludedPause {
+		e.sync.excludePause(pause)
+	}
+	if e.sync.mustCancelUnsent(e.now) {
+		e.emit(CancelUnsent{})
+	}
+	if e.sync.giveUp(e.now) {
 		e.emit(Log{"discovery does not answer: using the last known endpoint list"})
 		e.useEndpoints()
 	}
--- a/internal/policy/endpointsync_test.go
+++ b/internal/policy/endpointsync_test.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// syncStart is when the engines of startBehind start.
+const syncStart = 1000 * time.Second
+
 // startBehind returns an engine with four backends of a cached list that discovery has not confirmed.
 func startBehind(t *testing.T) *Engine {
 	t.Helper()
@@ -13,7 +16,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	engine.Step(0, []Event{EndpointsBehind{}, EndpointUpdate{Kind: CachedSnapshot, Backends: testBackends(4)}})
+	engine.Step(syncStart, []Event{EndpointsBehind{}, EndpointUpdate{Kind: CachedSnapshot, Backends: testBackends(4)}})
 	return engine
 }
 
@@ -27,12 +30,12 @@
 
 func TestNoAttemptByACachedListUntilDiscoveryConfirmsIt(t *testing.T) {
 	engine := startBehind(t)
-	sends := sendsOf(engine.Step(ms, []Event{testRequest(1, idempotentClass, noQuotaPlan)}))
-	if sends = append(sends, sendsOf(runChecks(engine, 2*ms, 80*ms))...); len(sends) > 0 {
+	sends := sendsOf(engine.Step(syncStart+ms, []Event{testRequest(1, idempotentClass, noQuotaPlan)}))
+	if sends = append(sends, sendsOf(runChecks(engine, syncStart+2*ms, syncStart+80*ms))...); len(sends) > 0 {
 		t.Fatalf("attempts by an unconfirmed list: %v", sends)
 	}
 	drained := Backend{Name: "b0", State: Draining}
-	actions := engine.Step(100*ms, []Event{EndpointUpdate{Backends: []Backend{drained}}, EndpointsCurrent{}})
+	actions := engine.Step(syncStart+100*ms, []Event{EndpointUpdate{Backends: []Backend{drained}}, EndpointsCurrent{}})
 	if sends := sendsOf(actions); len(sends) != 1 || sends[0].Backend == "b0" {
 		t.Errorf("attempts %v after the list was confirmed, want one, not at b0", sends)
 	}
@@ -41,11 +44,37 @@
 	}
 }
 
+// A list that is being received is no reason to withhold attempts while one may still be sent to a draining backend, with
+// time for a pause of the process. Then attempts that are not sent yet are cancelled, once.
+func TestAttemptsAreWithheldOnceAnUnappliedDrainCouldBeDue(t *testing.T) {
+	engine := newTestEngine(t, testSettings(), testBackends(4)...)
+	const behind = 1000 * ms
+	grace := testSettings().DrainGrace - maxPause
+	runChecks(engine, ms, behind)
+	engine.Step(behind, []Event{EndpointsBehind{Since: behind}})
+	actions := engine.Step(behind+grace-ms, []Event{testRequest(1, idempotentClass, noQuotaPlan)})
+	if len(sendsOf(actions)) != 1 {
+		t.Errorf("%d attempts within the grace, want 1", len(sendsOf(actions)))
+	}
+	actions = slices.Clone(engine.Step(behind+grace, []Event{testRequest(2, idempotentClass, noQuotaPlan)}))
+	actions = append(actions, runChecks(engine, behind+grace, behind+grace+100*ms)...)
+	if len(sendsOf(actions)) > 0 || len(actionsOf[CancelUnsent](actions)) != 1 {
+		t.Errorf("%d attempts and %d CancelUnsent after the grace, want 0 and 1", len(sendsOf(actions)),
+			len(actionsOf[CancelUnsent](actions)))
+	}
+	actions = engine.Step(behind+grace+120*ms, []Event{EndpointUpdate{}, EndpointsCurrent{}})
+	if len(sendsOf(actions)) != 1 {
+		t.Errorf("%d attempts once the list is applied, want 1", len(sendsOf(actions)))
+	}
+}
+
 // A list that takes long is waited for as long as parts of it arrive; a silent discovery is not.
 func TestLastKnownListIsUsedIfDiscoveryStaysSilent(t *testing.T) {
 	engine := startBehind(t)
-	progress := maxSyncWait - ms
-	engine.Step(progress, []Event{EndpointUpdate{Backends: []Backend{{Name: "b0", State: Draining}}}})
+	progress := syncStart + maxSyncWait - ms
+	runChecks(engine, syncStart+ms, progress)
+	part := EndpointUpdate{Backends: []Backend{{Name: "b0", State: Draining}}}
+	engine.Step(progress, []Event{EndpointsBehind{PartReceived: true}, part})
 	actions := runChecks(engine, progress, progress+maxSyncWait-ms)
 	if len(actionsOf[EndpointsUsable](actions)) > 0 {
 		t.Fatal("the list was used although parts of it arrived")
@@ -56,6 +85,40 @@
 	}
 }
 
+// Lists that are never complete do not keep the gateway out of service for ever, nor again before one is complete.
+func TestLastKnownListIsUsedIfListsAreNeverComplete(t *testing.T) {
+	engine := startBehind(t)
+	usable := 0
+	const end = syncStart + 3*maxSyncTime
+	for now := syncStart + ms; now < end; now += checkInterval {
+		actions := engine.Step(now, []Event{EndpointsBehind{Since: now, PartReceived: true}, Timer{checkCookie}})
+		if n := len(actionsOf[EndpointsUsable](actions)); n > 0 {
+			usable += n
+			if waited := now - syncStart; waited < maxSyncTime || waited > maxSyncTime+checkInterval {
+				t.Errorf("the list is used after %v, want after %v", waited, maxSyncTime)
+			}
+		}
+	}
+	if usable != 1 {
+		t.Errorf("%d EndpointsUsable, want 1", usable)
+	}
+	engine.Step(end, []Event{EndpointUpdate{}, EndpointsCurrent{}, EndpointsBehind{}})
+	actions := engine.Step(end+ms, []Event{testRequest(1, idempotentClass, noQuotaPlan)})
+	if len(sendsOf(actions)) > 0 {
+		t.Error("an attempt although the list is behind again after a complete one")
+	}
+}
+
+// A pause of the process is no time in which discovery was silent.
+func TestPauseOfTheProcessDoesNotEndTheWaitForDiscovery(t *testing.T) {
+	engine := startBehind(t)
+	runChecks(engine, syncStart+ms, syncStart+100*ms)
+	actions := engine.Step(syncStart+60*time.Second, []Event{Timer{checkCookie}, testRequest(1, idempotentClass, noQuotaPlan)})
+	if len(sendsOf(actions)) > 0 || len(actionsOf[EndpointsUsable](actions)) > 0 {
+		t.Errorf("got %v after a pause, want no attempt by the old list", actions)
+	}
+}
+
 // A request that was queued or failed before attempts were withheld is not sent either.
 func TestQueuedAndRetriedRequestsAreWithheldToo(t *testing.T) {
 	engine := newTestEngine(t, testSettings(), testBackends(1)...)
--- a/internal/policy/event.go
+++ b/internal/policy/event.go
@@ -90,7 +90,8 @@
 // EndpointsBehind reports that discovery may have changes of the endpoint list that were not reported to the
 // engine yet. EndpointsCurrent follows once they were.
 type EndpointsBehind struct {
-	Since time.Duration // when discovery may have had the first of them; 0: unknown
+	Since        time.Duration // when discovery may have had the first of them; 0: unknown
+	PartReceived bool          // a part of them has just arrived
 }
 
 // EndpointsCurrent reports that the engine has all changes of the endpoint list that discovery has sent.
--- a/internal/policy/rejection_test.go
+++ b/internal/policy/rejection_test.go
@@ -107,8 +107,8 @@
 	{name: "discovery has not confirmed the list in time", reason: EndpointsOutdated,
 		run: func(t *testing.T) (*Engine, []Action) {
 			engine := startBehind(t)
-			engine.Step(ms, []Event{testRequest(1, idempotentClass, noQuotaPlan)})
-			return engine, runChecks(engine, 2*ms, 250*ms)
+			engine.Step(syncStart+ms, []Event{testRequest(1, idempotentClass, noQuotaPlan)})
+			return engine, runChecks(engine, syncStart+2*ms, syncStart+250*ms)
 		}},
 	{name: "every attempt fails to connect", reason: AttemptsExhausted,
 		run: func(t *testing.T) (*Engine, []Action) {
