Withhold requests for a moment after a watch was reset, until the next one brings the list

A watch may end instead of telling a drain, which counts as notified all the same. Until the next watch's list began to arrive the gateway sent by the old list; a process held up on the way, in steps of up to 0.15 s, could so send past the grace.

Now the end of a watch by the agent or the network is a cause of its own (EndpointsBehind, WatchEnded): from 100 ms after it on requests wait, for 300 ms at most, since a discovery that does not answer then is down and has nothing new. An idle timeout is no such end.

TestEndOfAWatchWithholdsAttemptsForAShortTime and the new lines of TestClientIsBehindWhileAListIsBeingRead fail without the change: the event does not exist there. Both pass -race -count=20.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -37,8 +37,8 @@
 	l.server.audit.versionAdopted(index, source)
 }
 
-func (l discoveryLoop) EndpointsBehind(since time.Time, partApplied bool) {
-	l.server.emit(policy.EndpointsBehind{Since: l.server.now() - time.Since(since), PartReceived: partApplied})
+func (l discoveryLoop) EndpointsBehind(cause policy.BehindCause, since time.Time) {
+	l.server.emit(policy.EndpointsBehind{Cause: cause, Since: l.server.now() - time.Since(since)})
 }
 
 func (l discoveryLoop) EndpointsCurrent() { l.server.emit(policy.EndpointsCurrent{}) }
--- a/internal/gateway/discovery/client.go
+++ b/internal/gateway/discovery/client.go
@@ -212,6 +212,9 @@
 		if applied || lostAt.IsZero() {
 			lostAt = time.Now()
 		}
+		if applied && !errors.Is(err, context.Canceled) {
+			c.reportLost(ctx, lostAt)
+		}
 		delay = nextReconnectDelay(delay, err)
 		c.logWatchEnd(failures, &CallError{"watch", address, err})
 		select {
@@ -221,6 +224,16 @@
 	}
 }
 
+// reportLost reports to the loop that a watch was ended by the agent or the network: the next one may bring changes that the
+// agent has since then. The idle timeout is no such end, as a silent agent has nothing new.
+func (c *Client) reportLost(ctx context.Context, lostAt time.Time) {
+	c.loop.Post(func() {
+		if ctx.Err() == nil {
+			c.loop.EndpointsBehind(policy.WatchEnded, lostAt)
+		}
+	})
+}
+
 // logWatchEnd logs why a watch ended. failures is the number of watches before it that ended without a list; during an
 // outage only the first of them is logged at the default level.
 func (c *Client) logWatchEnd(failures int, err *CallError) {
--- a/internal/gateway/discovery/client_test.go
+++ b/internal/gateway/discovery/client_test.go
@@ -175,8 +175,10 @@
 	loop.runUntil(func() bool { return loop.behindSince.IsZero() })
 	watch.Reset()
 	lost := time.Now()
+	loop.runUntil(func() bool { return !loop.behindSince.IsZero() })
 	watch, _ = loop.runUntilWatch(agent)
 	time.Sleep(3 * reconnectDelay)
+	loop.behindSince = time.Time{}
 	watch.Chunk(list[:len(list)/2])
 	loop.runUntil(func() bool { return !loop.behindSince.IsZero() })
 	if since := loop.behindSince.Sub(lost); since > reconnectDelay {
--- a/internal/gateway/discovery/doc.go
+++ b/internal/gateway/discovery/doc.go
@@ -36,9 +36,8 @@
 	EmitUpdate(update policy.EndpointUpdate)
 	// ListApplied reports that the list or change with this index, received from discovery, has been applied completely.
 	ListApplied(index int64, snapshot bool)
-	// EndpointsBehind reports that the agent has entries that have not been applied, since the given time or longer, and
-	// whether a part of them has been.
-	EndpointsBehind(since time.Time, partApplied bool)
+	// EndpointsBehind reports why the agent may have entries that have not been applied, since the given time or longer.
+	EndpointsBehind(cause policy.BehindCause, since time.Time)
 	// EndpointsCurrent reports that everything that the agent has sent has been applied.
 	EndpointsCurrent()
 	// Ready reports that a list has been applied completely and that some backend has been in service, in this list or
--- a/internal/gateway/discovery/helpers_test.go
+++ b/internal/gateway/discovery/helpers_test.go
@@ -42,7 +42,7 @@
 
 func (l *testLoop) ListApplied(int64, bool) {}
 
-func (l *testLoop) EndpointsBehind(since time.Time, _ bool) { l.behindSince = since }
+func (l *testLoop) EndpointsBehind(_ policy.BehindCause, since time.Time) { l.behindSince = since }
 
 func (l *testLoop) EndpointsCurrent() { l.behindSince = time.Time{} }
 
--- a/internal/gateway/discovery/receiver.go
+++ b/internal/gateway/discovery/receiver.go
@@ -65,16 +65,16 @@
 	}
 	r.client.loop.Post(func() {
 		if r.stillWanted() {
-			r.reportBehind(false)
+			r.reportBehind(policy.ListBegan)
 		}
 	})
 }
 
-// reportBehind reports that the list being read is not applied yet, and whether a part of it is. It runs on the loop.
-func (r *receiver) reportBehind(partApplied bool) {
+// reportBehind reports that the list being read is not applied yet. It runs on the loop.
+func (r *receiver) reportBehind(cause policy.BehindCause) {
 	if r.isWatch {
 		r.client.watchBehind = true
-		r.client.loop.EndpointsBehind(r.behindSince, partApplied)
+		r.client.loop.EndpointsBehind(cause, r.behindSince)
 	}
 }
 
@@ -82,7 +82,7 @@
 func (r *receiver) batch(entries []endpoint.Entry) error {
 	for chunk := range slices.Chunk(entries, batchSize) {
 		err := r.runOnLoop(func() {
-			r.reportBehind(true)
+			r.reportBehind(policy.ListContinues)
 			r.client.update(r.apply(chunk))
 		})
 		if err != nil {
--- a/internal/policy/endpointsync.go
+++ b/internal/policy/endpointsync.go
@@ -9,11 +9,14 @@
 const (
 	// maxPause is how long a gateway may be held up between a decision and the first byte that it sends.
 	maxPause = 150 * time.Millisecond
-	// maxSyncWait is how long attempts are withheld while no part of the list arrives, and maxSyncTime in all.
-	// Discovery may be down or broken, and the last known list is then better than none. The wait covers a call
-	// that times out, and the call after it.
+	// Attempts are not withheld for ever: discovery may be down or broken, and the last known list is then
+	// better than none. maxSyncWait is how long they wait for the first or the next part of a list; it covers
+	// a call that times out, and the call after it. maxSyncTime is how long they wait for the end of the list.
 	maxSyncWait = 3 * time.Second
 	maxSyncTime = 6 * time.Second
+	// maxReconnectWait is how long after the end of a watch they wait for the next one. Discovery answers at
+	// once unless it is down.
+	maxReconnectWait = 400 * time.Millisecond
 	// minExcludedPause is the shortest pause of the process that does not count towards them.
 	minExcludedPause = time.Second
 )
@@ -21,40 +24,55 @@
 // endpointSync tracks whether the endpoint list is behind discovery.
 type endpointSync struct {
 	behind       bool
-	behindAt     time.Duration // when it fell behind
+	listBegan    bool          // a part of the missing list has arrived
 	withholdFrom time.Duration // while behind: no attempt is started from this time on
 	unsentEnded  bool          // attempts started before withholdFrom and not sent by then have been cancelled
-	progressAt   time.Duration // when a part of the list was last received
-	gaveUp       bool          // attempts were withheld for too long: not again until a list was applied
+	giveUpAt     time.Duration // the list is used as it is if no part of the missing one arrives until then
+	giveUpLatest time.Duration // and also if its end does not
+	gaveUp       bool          // lists were never complete: attempts are not withheld until one was applied
 }
 
 // withholds reports whether no attempt may be started.
 func (s *endpointSync) withholds(now time.Duration) bool { return s.behind && now >= s.withholdFrom }
 
-// fallBehind records that discovery may have had further changes since the given time; 0: for longer than the
-// grace within which an attempt may still be sent to a draining backend.
-func (s *endpointSync) fallBehind(now, since, grace time.Duration) {
+// fallBehind records that discovery may have further changes. Attempts are withheld once the grace, within
+// which one may still be sent to a draining backend, could be over.
+func (s *endpointSync) fallBehind(now time.Duration, ev EndpointsBehind, grace time.Duration) {
 	if s.gaveUp {
 		return
 	}
-	from := since
-	if since > 0 {
-		from += max(0, grace-maxPause)
+	from := time.Duration(0)
+	if ev.Cause != Started {
+		from = ev.Since + max(0, grace-maxPause)
 	}
 	if !s.behind {
-		s.behind, s.behindAt, s.progressAt, s.withholdFrom = true, now, now, from
+		s.behind, s.listBegan, s.withholdFrom, s.giveUpAt = true, false, from, 0
+		s.giveUpLatest = now + maxSyncTime
 	}
 	s.withholdFrom = min(s.withholdFrom, from)
+	s.extendWait(now, ev)
 }
 
-// progress records that a part of the list has been received.
-func (s *endpointSync) progress(now time.Duration) { s.progressAt = now }
+// extendWait records until when the missing list is waited for.
+func (s *endpointSync) extendWait(now time.Duration, ev EndpointsBehind) {
+	switch ev.Cause {
+	case WatchEnded:
+		s.giveUpAt = max(s.giveUpAt, ev.Since+maxReconnectWait)
+	case Started, ListContinues:
+		s.giveUpAt = now + maxSyncWait
+	case ListBegan:
+		if !s.listBegan { // lists that begin again and again are no progress
+			s.giveUpAt = now + maxSyncWait
+		}
+		s.listBegan = true
+	}
+}
 
 // excludePause extends the time for which attempts are withheld by a pause of this process, in which it could
 // not receive anything.
 func (s *endpointSync) excludePause(pause time.Duration) {
-	s.behindAt += pause
-	s.progressAt += pause
+	s.giveUpAt += pause
+	s.giveUpLatest += pause
 }
 
 // catchUp records that nothing is missing, and reports whether that is a change.
@@ -75,19 +93,16 @@
 
 // giveUp reports whether the list has been behind for so long that it is used as it is, which it then is.
 func (s *endpointSync) giveUp(now time.Duration) bool {
-	if !s.behind || now-s.progressAt < maxSyncWait && now-s.behindAt < maxSyncTime {
+	if !s.behind || now < min(s.giveUpAt, s.giveUpLatest) {
 		return false
 	}
-	s.behind, s.unsentEnded, s.gaveUp = false, false, true
+	s.behind, s.unsentEnded, s.gaveUp = false, false, s.listBegan
 	return true
 }
 
 // endpointsBehind handles the event of the same name.
 func (e *Engine) endpointsBehind(ev EndpointsBehind) {
-	e.sync.fallBehind(e.now, ev.Since, e.settings.DrainGrace)
-	if ev.PartReceived {
-		e.sync.progress(e.now)
-	}
+	e.sync.fallBehind(e.now, ev, e.settings.DrainGrace)
 }
 
 // endpointsCurrent handles the event of the same name.
--- a/internal/policy/endpointsync_test.go
+++ b/internal/policy/endpointsync_test.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	engine.Step(syncStart, []Event{EndpointsBehind{}, EndpointUpdate{Kind: CachedSnapshot, Backends: testBackends(4)}})
+	engine.Step(syncStart, []Event{EndpointsBehind{Cause: Started}, EndpointUpdate{Kind: CachedSnapshot, Backends: testBackends(4)}})
 	return engine
 }
 
@@ -51,7 +51,7 @@
 	const behind = 1000 * ms
 	grace := testSettings().DrainGrace - maxPause
 	runChecks(engine, ms, behind)
-	engine.Step(behind, []Event{EndpointsBehind{Since: behind}})
+	engine.Step(behind, []Event{EndpointsBehind{Cause: ListBegan, Since: behind}})
 	actions := engine.Step(behind+grace-ms, []Event{testRequest(1, idempotentClass, noQuotaPlan)})
 	if len(sendsOf(actions)) != 1 {
 		t.Errorf("%d attempts within the grace, want 1", len(sendsOf(actions)))
@@ -74,7 +74,7 @@
 	progress := syncStart + maxSyncWait - ms
 	runChecks(engine, syncStart+ms, progress)
 	part := EndpointUpdate{Backends: []Backend{{Name: "b0", State: Draining}}}
-	engine.Step(progress, []Event{EndpointsBehind{PartReceived: true}, part})
+	engine.Step(progress, []Event{EndpointsBehind{Cause: ListContinues, Since: progress}, part})
 	actions := runChecks(engine, progress, progress+maxSyncWait-ms)
 	if len(actionsOf[EndpointsUsable](actions)) > 0 {
 		t.Fatal("the list was used although parts of it arrived")
@@ -91,7 +91,7 @@
 	usable := 0
 	const end = syncStart + 3*maxSyncTime
 	for now := syncStart + ms; now < end; now += checkInterval {
-		actions := engine.Step(now, []Event{EndpointsBehind{Since: now, PartReceived: true}, Timer{checkCookie}})
+		actions := engine.Step(now, []Event{EndpointsBehind{Cause: ListBegan, Since: now}, EndpointsBehind{Cause: ListContinues, Since: now}, Timer{checkCookie}})
 		if n := len(actionsOf[EndpointsUsable](actions)); n > 0 {
 			usable += n
 			if waited := now - syncStart; waited < maxSyncTime || waited > maxSyncTime+checkInterval {
@@ -102,13 +102,45 @@
 	if usable != 1 {
 		t.Errorf("%d EndpointsUsable, want 1", usable)
 	}
-	engine.Step(end, []Event{EndpointUpdate{}, EndpointsCurrent{}, EndpointsBehind{}})
+	engine.Step(end, []Event{EndpointUpdate{}, EndpointsCurrent{}, EndpointsBehind{Cause: Started}})
 	actions := engine.Step(end+ms, []Event{testRequest(1, idempotentClass, noQuotaPlan)})
 	if len(sendsOf(actions)) > 0 {
 		t.Error("an attempt although the list is behind again after a complete one")
 	}
 }
 
+// After the end of a watch, attempts are withheld for a short time only, unless the next watch brings a list.
+func TestEndOfAWatchWithholdsAttemptsForAShortTime(t *testing.T) {
+	grace := testSettings().DrainGrace - maxPause
+	for name, c := range map[string]struct {
+		next  []Event // 200 ms after the grace
+		until time.Duration
+	}{
+		"silent discovery":  {until: maxReconnectWait},
+		"a list begins":     {next: []Event{EndpointsBehind{Cause: ListBegan, Since: syncStart}}, until: grace + 10*ms + maxSyncWait},
+		"a list is applied": {next: []Event{EndpointUpdate{}, EndpointsCurrent{}}, until: grace + 10*ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			engine := newTestEngine(t, testSettings(), testBackends(4)...)
+			runChecks(engine, syncStart-100*ms, syncStart)
+			engine.Step(syncStart, []Event{EndpointsBehind{Cause: WatchEnded, Since: syncStart}})
+			usableAt := time.Duration(0)
+			for after := ms; after < 2*maxSyncWait; after += ms {
+				events := []Event{Timer{checkCookie}}
+				if after == grace+10*ms {
+					events = append(events, c.next...)
+				}
+				if len(actionsOf[EndpointsUsable](engine.Step(syncStart+after, events))) > 0 {
+					usableAt = after
+				}
+			}
+			if usableAt != c.until {
+				t.Errorf("the list is used after %v, want %v", usableAt, c.until)
+			}
+		})
+	}
+}
+
 // A pause of the process is no time in which discovery was silent.
 func TestPauseOfTheProcessDoesNotEndTheWaitForDiscovery(t *testing.T) {
 	engine := startBehind(t)
@@ -126,7 +158,7 @@
 	if engine.queues.isEmpty() {
 		t.Fatal("no request is queued")
 	}
-	engine.Step(2*ms, []Event{EndpointsBehind{}})
+	engine.Step(2*ms, []Event{EndpointsBehind{Cause: Started}})
 	for _, s := range sends {
 		if again := sendsOf(engine.Step(3*ms, []Event{unservedResult(s, 0, ConnectFailed)})); len(again) > 0 {
 			t.Fatalf("attempts %v while the list is behind", again)
--- a/internal/policy/event.go
+++ b/internal/policy/event.go
@@ -90,10 +90,21 @@
 // EndpointsBehind reports that discovery may have changes of the endpoint list that were not reported to the
 // engine yet. EndpointsCurrent follows once they were.
 type EndpointsBehind struct {
-	Since        time.Duration // when discovery may have had the first of them; 0: unknown
-	PartReceived bool          // a part of them has just arrived
+	Cause BehindCause
+	Since time.Duration // when discovery may have had the first of them; not used with Started
 }
 
+// BehindCause is the reason for an EndpointsBehind.
+type BehindCause int
+
+// The causes.
+const (
+	Started       BehindCause = iota // the gateway has started: discovery may have had changes long before
+	WatchEnded                       // the watch of the list has ended and is being opened again
+	ListBegan                        // a list or change begins to arrive
+	ListContinues                    // a part of it has arrived
+)
+
 // EndpointsCurrent reports that the engine has all changes of the endpoint list that discovery has sent.
 type EndpointsCurrent struct{}
 
