Share the restart tests' gateway process, clients and backends

restart_test.go and the soak each wrote a configuration, a list entry and a log buffer; listedgateway_test.go and traffic_test.go hold them now.

--- a/cmd/bellwood/restartsoak_test.go
+++ b/cmd/bellwood/restartsoak_test.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"os/exec"
 	"strings"
 	"sync"
@@ -105,21 +104,9 @@
 
 // start starts the gateway with a list as the last known one.
 func (soak *drainSoak) start(known map[string]any) {
-	config, err := json.Marshal(map[string]any{"name": "n1", "listen": soak.address, "seed": "1",
-		"discovery": strings.TrimPrefix(soak.discovery.server.URL, "http://"),
-		"limits":    map[string]any{"cores": 0.17, "memory_mb": 80, "sockets": 512}, "known": known,
-		"settings": json.RawMessage(restartSettings)})
-	if err != nil {
-		soak.t.Fatal(err)
-	}
-	soak.process = exec.Command(os.Args[0])
-	soak.process.Env = append(os.Environ(), runMainVariable+"=1", "NODE_CONFIG="+newConfigFile(soak.t, string(config)),
-		"NODE_NAME=", "NODE_LISTEN=", "NODE_DISCOVERY=")
-	soak.process.Stderr = &soak.log
 	soak.discovery.processStarted()
-	if err := soak.process.Start(); err != nil {
-		soak.t.Fatal(err)
-	}
+	agent := strings.TrimPrefix(soak.discovery.server.URL, "http://")
+	soak.process = startListedGateway(soak.t, soak.address, agent, known, &soak.log)
 	ctx, cancel := context.WithCancel(context.Background())
 	soak.stopped = cancel
 	if soak.throttled {
@@ -245,9 +232,7 @@
 			status = "DRAINING"
 		}
 		if status == "SERVING" || withDraining {
-			entries = append(entries, map[string]any{"name": fmt.Sprintf("s-%08x", uint32(i)*2654435761), "zone": "dc1",
-				"type": "std", "group": 0, "weight": 1.0, "since_ms": 0, "address": d.soak.groups[group].address,
-				"status": status})
+			entries = append(entries, listEntry(i, d.soak.groups[group].address, status))
 		}
 	}
 	return map[string]any{"index": d.version, "snapshot": true, "endpoints": entries}
@@ -304,21 +289,3 @@
 	result.text = string(text) + "\n"
 	return result
 }
-
-// syncBuffer is a buffer for the log of a process. It is safe for concurrent use.
-type syncBuffer struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (b *syncBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(p)
-}
-
-func (b *syncBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
