--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -105,7 +105,7 @@
 func (server *Server) Run(ctx context.Context, ln net.Listener) {
 	defer close(server.done)
 	defer ln.Close()
-	server.emit(policy.EndpointsBehind{Cause: policy.Started}) // the agent may have had changes since before the start
+	server.emit(policy.EndpointsBehind{Cause: policy.GatewayStarted}) // the agent may have had changes since before the start
 	server.discovery.Apply(server.cfg.Known.Endpoints, policy.CachedSnapshot)
 	server.audit.start()
 	server.step() // passes the endpoint list of the configuration to the engine
--- a/internal/policy/endpointsync.go
+++ b/internal/policy/endpointsync.go
@@ -42,7 +42,7 @@
 		return
 	}
 	from := time.Duration(0)
-	if ev.Cause != Started {
+	if ev.Cause != GatewayStarted {
 		from = ev.Since + max(0, grace-maxPause)
 	}
 	if !s.behind {
@@ -58,7 +58,7 @@
 	switch ev.Cause {
 	case WatchEnded:
 		s.giveUpAt = max(s.giveUpAt, ev.Since+maxReconnectWait)
-	case Started, ListContinues:
+	case GatewayStarted, ListContinues:
 		s.giveUpAt = now + maxSyncWait
 	case ListBegan:
 		if !s.listBegan { // lists that begin again and again are no progress
--- a/internal/policy/endpointsync_test.go
+++ b/internal/policy/endpointsync_test.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	engine.Step(syncStart, []Event{EndpointsBehind{Cause: Started}, EndpointUpdate{Kind: CachedSnapshot, Backends: testBackends(4)}})
+	engine.Step(syncStart, []Event{EndpointsBehind{Cause: GatewayStarted}, EndpointUpdate{Kind: CachedSnapshot, Backends: testBackends(4)}})
 	return engine
 }
 
@@ -102,7 +102,7 @@
 	if usable != 1 {
 		t.Errorf("%d EndpointsUsable, want 1", usable)
 	}
-	engine.Step(end, []Event{EndpointUpdate{}, EndpointsCurrent{}, EndpointsBehind{Cause: Started}})
+	engine.Step(end, []Event{EndpointUpdate{}, EndpointsCurrent{}, EndpointsBehind{Cause: GatewayStarted}})
 	actions := engine.Step(end+ms, []Event{testRequest(1, idempotentClass, noQuotaPlan)})
 	if len(sendsOf(actions)) > 0 {
 		t.Error("an attempt although the list is behind again after a complete one")
@@ -158,7 +158,7 @@
 	if engine.queues.isEmpty() {
 		t.Fatal("no request is queued")
 	}
-	engine.Step(2*ms, []Event{EndpointsBehind{Cause: Started}})
+	engine.Step(2*ms, []Event{EndpointsBehind{Cause: GatewayStarted}})
 	for _, s := range sends {
 		if again := sendsOf(engine.Step(3*ms, []Event{unservedResult(s, 0, ConnectFailed)})); len(again) > 0 {
 			t.Fatalf("attempts %v while the list is behind", again)
--- a/internal/policy/event.go
+++ b/internal/policy/event.go
@@ -91,7 +91,7 @@
 // engine yet. EndpointsCurrent follows once they were.
 type EndpointsBehind struct {
 	Cause BehindCause
-	Since time.Duration // when discovery may have had the first of them; not used with Started
+	Since time.Duration // when discovery may have had the first of them; not used with GatewayStarted
 }
 
 // BehindCause is the reason for an EndpointsBehind.
@@ -99,10 +99,10 @@
 
 // The causes.
 const (
-	Started       BehindCause = iota // the gateway has started: discovery may have had changes long before
-	WatchEnded                       // the watch of the list has ended and is being opened again
-	ListBegan                        // a list or change begins to arrive
-	ListContinues                    // a part of it has arrived
+	GatewayStarted BehindCause = iota // the gateway has started: discovery may have had changes long before
+	WatchEnded                        // the watch of the list has ended and is being opened again
+	ListBegan                         // a list or change begins to arrive
+	ListContinues                     // a part of it has arrived
 )
 
 // EndpointsCurrent reports that the engine has all changes of the endpoint list that discovery has sent.
