Wait 3.5 s for discovery, so that a slow process has time for its second call

3.5 s leave the second call 0.95 s, and stay under the 4 s for which a gateway may reject all that it gets. The engine's test of a silent discovery lets a part of the list arrive after 2 s now, as 3.5 s twice exceed the 6 s in all; what it checks is the same.

--- a/internal/policy/endpointsync.go
+++ b/internal/policy/endpointsync.go
@@ -12,7 +12,7 @@
 	// Attempts are not withheld for ever: discovery may be down or broken, and the last known list is then
 	// better than none. maxSyncWait is how long they wait for the first or the next part of a list; it covers
 	// a call that times out, and the call after it. maxSyncTime is how long they wait for the end of the list.
-	maxSyncWait = 3 * time.Second
+	maxSyncWait = 3500 * time.Millisecond
 	maxSyncTime = 6 * time.Second
 	// maxReconnectWait is how long after the end of a watch they wait for the next one. Discovery answers at
 	// once unless it is down.
--- a/internal/policy/endpointsync_test.go
+++ b/internal/policy/endpointsync_test.go
@@ -71,7 +71,7 @@
 // A list that takes long is waited for as long as parts of it arrive; a silent discovery is not.
 func TestLastKnownListIsUsedIfDiscoveryStaysSilent(t *testing.T) {
 	engine := startBehind(t)
-	progress := syncStart + maxSyncWait - ms
+	const progress = syncStart + 2*time.Second
 	runChecks(engine, syncStart+ms, progress)
 	part := EndpointUpdate{Backends: []Backend{{Name: "b0", State: Draining}}}
 	engine.Step(progress, []Event{EndpointsBehind{Cause: ListContinues, Since: progress}, part})
