Let the restart tests run under the race detector

The race detector alone slows it as much, so processes are throttled without it only, and the clients go on until a request is served, for up to the 6 s within which nine of ten restarted gateways must be ready. The bound on drains stays.

--- a/cmd/bellwood/listedgateway_test.go
+++ b/cmd/bellwood/listedgateway_test.go
@@ -18,6 +18,9 @@
 // and 50 ms by which PROTOCOL-bellwood extends every time limit.
 const drainDeadline = 300 * time.Millisecond
 
+// maxReadyTime is the time from the start of a process within which nine of ten restarted gateways must be ready.
+const maxReadyTime = 6 * time.Second
+
 // listedSettings are the settings of the gateways that startListedGateway starts.
 const listedSettings = `{"peers-total":1,"rank":0,"resolution-us":4000,"discovery":"pushed","areas":["dc1"],"kinds":["std"],
 "limits":{"max-attempts":3,"cancel":true,"retry-after":true,"max-retry-after-us":1000000,"dial-timeout-us":250000,
--- /dev/null
+++ b/cmd/bellwood/norace_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package main
+
+// raceDetector reports whether the tests and the gateways that they start run under the race detector.
+const raceDetector = false
