--- a/cmd/bellwood/main.go
+++ b/cmd/bellwood/main.go
@@ -2,8 +2,8 @@
 // backends.
 //
 // NODE_CONFIG names its configuration file, which is JSON. At startup NODE_NAME, NODE_LISTEN and NODE_DISCOVERY override
-// values of the file, and NODE_LOG_LEVEL sets the lowest level that is logged. SIGTERM or an interrupt starts a graceful shutdown; SIGHUP reloads the file. The log goes to standard
-// error. See README.
+// values of the file, and NODE_LOG_LEVEL sets the lowest level that is logged. SIGTERM or an interrupt starts a graceful
+// shutdown; SIGHUP reloads the file. The log goes to standard error. See README.
 package main
 
 import (
--- a/internal/emulator/catalog.go
+++ b/internal/emulator/catalog.go
@@ -150,13 +150,12 @@
 func (c *Catalog) watchLineSince(index int64) watchLine {
 	update, changed := c.ChangesSince(index)
 	line := watchLine{index: update.Index, entries: len(update.Endpoints), snapshot: update.Snapshot, changed: changed}
-	switch {
-	case update.Snapshot:
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		line.text, line.index, line.changed = c.cachedSnapshotJSON(), c.index, c.changed
-	default:
+	if !update.Snapshot {
 		line.text, _ = json.Marshal(update)
+		return line
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	line.text, line.index, line.changed = c.cachedSnapshotJSON(), c.index, c.changed
 	return line
 }
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -107,7 +107,8 @@
 		conn.failAndDiscard(protocol.NoMemory)
 	case errors.Is(err, os.ErrDeadlineExceeded) && conn.commands.Partial():
 		conn.failAndDiscard(protocol.CommandIncomplete)
-	case errors.Is(err, os.ErrDeadlineExceeded) && !conn.closeIfBetweenRequests(clientFirstTimeout): // its first command is just arriving
+	case errors.Is(err, os.ErrDeadlineExceeded) && !conn.closeIfBetweenRequests(clientFirstTimeout):
+		// Its first command is just arriving.
 		conn.commandDeadline = time.Now().Add(commandTimeout)
 		return true
 	}
--- a/internal/gateway/discovery/client.go
+++ b/internal/gateway/discovery/client.go
@@ -205,7 +205,9 @@
 	delay := reconnectDelay
 	var lostAt time.Time
 	for failures := 0; ctx.Err() == nil; failures++ {
-		applied, err := c.watch(ctx, address, &index, lostAt)
+		var applied bool
+		var err error
+		index, applied, err = c.watch(ctx, address, index, lostAt)
 		if applied {
 			failures = 0
 		}
@@ -252,21 +254,21 @@
 	return reconnectDelay
 }
 
-// watch opens a watch from an index and applies its lists until it ends; index becomes that of the last list applied.
-// lostAt is when the watch before ended; zero: there was none. It reports whether a list was applied, and why the watch
-// has ended.
-func (c *Client) watch(followCtx context.Context, address string, index *int64, lostAt time.Time) (applied bool, err error) {
+// watch opens a watch from an index and applies its lists until it ends. lostAt is when the watch before ended; zero: there
+// was none. It returns the index of the last list applied, whether any was, and the reason for the end.
+func (c *Client) watch(followCtx context.Context, address string, index int64, lostAt time.Time) (last int64, applied bool,
+	err error) {
 	ctx, cancel := context.WithCancel(followCtx)
 	defer cancel()
 	idle := startIdleTimer(c.watchIdleTimeout, cancel)
 	defer idle.stop()
 	calledAt := time.Now()
-	body, err := c.get(ctx, fmt.Sprintf("%s?stream=1&index=%d", endpointsURL(address), *index))
+	body, err := c.get(ctx, fmt.Sprintf("%s?stream=1&index=%d", endpointsURL(address), index))
 	if err != nil {
-		return false, err
+		return index, false, err
 	}
 	defer body.Close()
-	c.log.Info("discovery watch opened", slog.String("address", address), slog.Int64("index", *index),
+	c.log.Info("discovery watch opened", slog.String("address", address), slog.Int64("index", index),
 		slog.Duration("after", time.Since(calledAt)))
 	receiver := c.newReceiver(body, idle)
 	receiver.isWatch, receiver.lostAt = true, lostAt
@@ -275,9 +277,9 @@
 	for {
 		list, err := receiver.next()
 		if err != nil {
-			return applied, err
+			return index, applied, err
 		}
-		*index, applied = list.Index, true
+		index, applied = list.Index, true
 	}
 }
 
--- a/internal/policy/dispatch.go
+++ b/internal/policy/dispatch.go
@@ -179,8 +179,13 @@
 // eligible.
 func (e *Engine) levelIsEligible(first *request, to *backend, waiting int) bool {
 	ahead := float64(waiting + len(to.inFlight))
-	return ahead*e.expectedLatencyAt(first, to)/to.limiter.Limit() <
-		first.deadlineBudget.Seconds()*deadlineMargin*maxQueueShare
+	return ahead*e.expectedLatencyAt(first, to)/to.limiter.Limit() < first.queueTimeLimit()
+}
+
+// queueTimeLimit returns, in seconds, the part of the deadline budget within which requests that wait are
+// expected to complete.
+func (r *request) queueTimeLimit() float64 {
+	return r.deadlineBudget.Seconds() * deadlineMargin * maxQueueShare
 }
 
 // sendAllQueued sends queued requests wherever there are free slots. First each backend serves its own
--- a/internal/policy/endpointsync.go
+++ b/internal/policy/endpointsync.go
@@ -46,8 +46,7 @@
 		from = ev.Since + max(0, grace-maxPause)
 	}
 	if !s.behind {
-		s.behind, s.listBegan, s.withholdFrom, s.giveUpAt = true, false, from, 0
-		s.giveUpLatest = now + maxSyncTime
+		*s = endpointSync{behind: true, withholdFrom: from, giveUpLatest: now + maxSyncTime}
 	}
 	s.withholdFrom = min(s.withholdFrom, from)
 	s.extendWait(now, ev)
@@ -78,7 +77,7 @@
 // catchUp records that nothing is missing, and reports whether that is a change.
 func (s *endpointSync) catchUp() (changed bool) {
 	changed = s.behind
-	s.behind, s.unsentEnded, s.gaveUp = false, false, false
+	*s = endpointSync{}
 	return changed
 }
 
@@ -96,7 +95,7 @@
 	if !s.behind || now < min(s.giveUpAt, s.giveUpLatest) {
 		return false
 	}
-	s.behind, s.unsentEnded, s.gaveUp = false, false, s.listBegan
+	*s = endpointSync{gaveUp: s.listBegan}
 	return true
 }
 
@@ -137,7 +136,7 @@
 // withhold keeps a request until the endpoint list is current. It rejects the request if that would leave too
 // little time for the client to try another gateway.
 func (e *Engine) withhold(r *request) {
-	if e.answeredAfter(r, e.expectedLatency(r)) >= r.deadlineBudget.Seconds()*deadlineMargin*maxQueueShare {
+	if e.answeredAfter(r, e.expectedLatency(r)) >= r.queueTimeLimit() {
 		e.reject(r, rejection{reason: EndpointsOutdated})
 		return
 	}
