--- a/review/1/main.go
+++ b/review/1/main.go
@@ -32,7 +32,7 @@
 
 func run(root, recordPath string, trouble bool) int {
 	site, err := stand.StartSite(stand.SiteConfig{Root: root, RecordPath: recordPath, Backends: backends, Work: work,
-		ValueBytes: valueBytes, Limits: stand.Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}})
+		ValueBytes: valueBytes, Limits: stand.Limits{Cores: 1, MemoryMB: 80, Sockets: 640}})
 	defer site.End()
 	if err != nil {
 		fmt.Println("could not run:", err)
--- a/review/stand/backend.go
+++ b/review/stand/backend.go
@@ -91,6 +91,7 @@
 		}
 		if len(args) > 2 && answer[0] == '*' {
 			b.runs.answered(args[2])
+			b.record.Line("%s has answered %s", b.Name, args[2])
 		}
 	}
 }
