--- a/review/3/main.go
+++ b/review/2/main.go
@@ -1,4 +1,4 @@
-// Case 3: while bad clients have stopped in the middle of long requests, the gateway closes connections of sound clients
+// Case 2: while bad clients have stopped in the middle of long requests, the gateway closes connections of sound clients
 // instead of writing them an answer of the longest allowed length.
 package main
 
@@ -46,7 +46,7 @@
 
 func run(root, recordPath string, trouble bool) int {
 	site, err := stand.StartSite(stand.SiteConfig{Root: root, RecordPath: recordPath, Backends: backends, Work: work,
-		ValueBytes: valueBytes, Limits: stand.Limits{Cores: 1, MemoryMB: 64, Sockets: 1024}})
+		ValueBytes: valueBytes, Limits: stand.Limits{Cores: 1, MemoryMB: 64, Sockets: 640}})
 	defer site.End()
 	if err != nil {
 		fmt.Println("could not run:", err)
