Log the bytes that a closed client connection held, and waits of its reader

The line now has the connection's unwritten bytes and the clients' memory, and a new line says how long a reader waited for capacity in the reply queue. Both are at level debug; while that is off the cost is one check for each close and each wait.

--- a/internal/gateway/clientreply.go
+++ b/internal/gateway/clientreply.go
@@ -111,8 +111,12 @@
 func (conn *clientConn) reserveReply(request *clientRequest, memory int64) *pendingReply {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	for conn.replies.full() && !conn.closed {
-		conn.waitForReplyCapacity()
+	if conn.replies.full() && !conn.closed {
+		since := conn.downstream.loop.now()
+		for conn.replies.full() && !conn.closed {
+			conn.waitForReplyCapacity()
+		}
+		conn.downstream.trace.clientReaderWaited(conn, conn.downstream.loop.now()-since)
 	}
 	if conn.closed {
 		conn.downstream.memory.Release(memory)
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -79,7 +79,18 @@
 func (t trace) clientConnClosed(conn *clientConn, reason clientCloseReason) {
 	if t.enabled() {
 		t.write("client connection closed", slog.String("client", conn.socket.RemoteAddr().String()),
-			slog.String("reason", string(reason)), slog.Int("unanswered", len(conn.replies.pending)))
+			slog.String("reason", string(reason)), slog.Int("unanswered", len(conn.replies.pending)),
+			slog.Int("unwritten_bytes", len(conn.replies.unwritten)),
+			slog.Int64("client_memory_bytes", conn.downstream.memory.Reserved()))
+	}
+}
+
+// clientReaderWaited reports that the reader of a client's connection has waited for capacity in the reply queue, while
+// further commands may have arrived.
+func (t trace) clientReaderWaited(conn *clientConn, waited time.Duration) {
+	if t.enabled() {
+		t.write("client reader waited", slog.String("client", conn.socket.RemoteAddr().String()),
+			slog.Duration("waited", waited), slog.Int("unanswered", len(conn.replies.pending)))
 	}
 }
 
--- a/internal/gateway/trace_test.go
+++ b/internal/gateway/trace_test.go
@@ -52,3 +52,18 @@
 		t.Errorf("the log lacks %q:\n%s", want, log.String())
 	}
 }
+
+// A closed client connection is logged with the bytes that could not be written to it and the memory that all clients
+// used, which tell a client that does not read from a lack of memory.
+func TestDebugLogGivesTheMemoryOfAClosedConnection(t *testing.T) {
+	var log lockedBuffer
+	gateway := startLoggedGateway(t, debugLog(&log), nil)
+	client := gateway.dial()
+	client.sendRequest("1")
+	gateway.waitUntil(func() bool { return gateway.server.requests.len() == 1 })
+	client.close()
+	gateway.waitUntil(func() bool { return gateway.server.requests.len() == 0 })
+	if want := `unanswered=1 unwritten_bytes=0 client_memory_bytes=1`; !strings.Contains(log.String(), want) {
+		t.Errorf("the log lacks %q:\n%s", want, log.String())
+	}
+}
