Write replies that become ready together, instead of closing the connection

What callers saw: a client that sent many commands at once and read each reply as it came lost its connection, and with it the replies to requests that backends had run, also of the class that may never run twice.

Cause: when the first reply became ready, all ready ones behind it were moved to the unwritten bytes, and their sum was compared with 1 MiB before a byte was offered to the socket. The gateway took the size of what it had not tried to write for a sign that the client doesn't read.

Evidence: with the bytes in the log, the closed connections had unwritten_bytes=1860310 and 1500250 while all clients together used as much of 20 MiB, so it was the limit on one connection and not the shared memory.

Why this works: replies are moved only while at most 256 KiB are unwritten, and the rest after the socket has taken those; their sum closes nothing any more. A client counts as one that does not read if it has not read 16 KiB, or what is left, within 5 s of an attempt to write. On related paths that also mends a slow but steady reader whose one write took over 5 s (a line of LIMITATIONS.md), and counts the bytes that are being written among the unwritten ones.

The new tests pass -race -count=20.

--- /dev/null
+++ b/internal/gateway/clientreply_test.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"bellwood/internal/resp"
+)
+
+// receivePipelined makes the client send n requests at once, with the ids 0 to n-1, and waits until all are open.
+func receivePipelined(t *testing.T, server *Server, client *peer, n int) {
+	t.Helper()
+	commands := ""
+	for i := range n {
+		commands += requestCommand(fmt.Sprint(i))
+	}
+	client.write(commands)
+	runTasksUntil(t, server, func() bool { return len(server.requests.byID) == n })
+	server.events = nil
+}
+
+// Guards against a client that reads being disconnected because the replies behind a slow one become ready together and
+// are longer than any limit on unwritten bytes: the client gets every reply, in order.
+func TestRepliesReadyTogetherReachAClientThatReads(t *testing.T) {
+	const requests = 64
+	server := newServerWithoutLoop(t, freeAddr(t))
+	conn, client := newClientPair(t, server)
+	go conn.serve()
+	receivePipelined(t, server, client, requests)
+	value := func(i int) string { return strings.Repeat(fmt.Sprint(i%10), resp.MaxValueBytes) }
+	for i := requests - 1; i >= 0; i-- { // the first one, which all others wait for, is answered last
+		server.requests.serve(openRequestByID(server, fmt.Sprint(i)), []byte(respBulk(value(i))))
+	}
+	for i := range requests {
+		if m, err := client.tryReadMessage(); err != nil || m[0] != value(i) {
+			t.Fatalf("reply %d of %d: got %.20q and error %v, want the value of its request", i, requests, m, err)
+		}
+	}
+	wantMemoryReleased(t, server, client)
+}
+
+// wantMemoryReleased closes the only client's connection, and fails unless all memory used for it is released.
+func wantMemoryReleased(t *testing.T, server *Server, client *peer) {
+	t.Helper()
+	client.close()
+	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		_, open := server.downstream.drainable()
+		reserved := server.downstream.memory.Reserved()
+		if open == 0 && reserved == 0 {
+			return
+		} else if time.Now().After(end) {
+			t.Fatalf("%d connections and %d bytes remain, want none", open, reserved)
+		}
+	}
+}
+
+// Guards against a client that reads steadily being disconnected because it takes longer than the timeout to read all
+// that was written at once.
+func TestWriteToASteadyReaderMayOutlastTheTimeout(t *testing.T) {
+	const timeout, chunks = time.Second, 16
+	data := make([]byte, chunks*2*minBytesPerTimeout)
+	conn, peer := net.Pipe()
+	defer conn.Close()
+	defer peer.Close()
+	go func() {
+		chunk := make([]byte, 2*minBytesPerTimeout)
+		for range chunks {
+			time.Sleep(2 * timeout / chunks)
+			io.ReadFull(peer, chunk)
+		}
+	}()
+	if err := writeSteadily(conn, data, timeout); err != nil {
+		t.Errorf("got error %v, want none", err)
+	}
+}
+
+// Guards against a client that does not read occupying memory for replies without end.
+func TestWriteToAPeerThatDoesNotReadEnds(t *testing.T) {
+	conn, peer := net.Pipe()
+	defer conn.Close()
+	defer peer.Close()
+	go io.ReadFull(peer, make([]byte, minBytesPerTimeout-1))
+	err := writeSteadily(conn, make([]byte, 2*minBytesPerTimeout), 50*time.Millisecond)
+	if !errors.Is(err, errReadsTooSlowly) {
+		t.Errorf("got error %v, want %v", err, errReadsTooSlowly)
+	}
+}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -80,7 +80,7 @@
 	if t.enabled() {
 		t.write("client connection closed", slog.String("client", conn.socket.RemoteAddr().String()),
 			slog.String("reason", string(reason)), slog.Int("unanswered", len(conn.replies.pending)),
-			slog.Int("unwritten_bytes", len(conn.replies.unwritten)),
+			slog.Int("unwritten_bytes", conn.replies.unwrittenBytes()),
 			slog.Int64("client_memory_bytes", conn.downstream.memory.Reserved()))
 	}
 }
