Close no connection because other clients use up the shared memory

What callers saw: while 300 clients at each gateway had stopped in the middle of long commands, clients that sent one request after another and read each reply lost their connections instead of getting a reply of 64 KiB. Backends had run the requests.

Cause: commands that are still arriving could reserve the clients' whole memory. A ready reply was added to it unchecked, which made it exceeded for everybody, and every connection with more than 64 KiB unwritten was then closed as one that doesn't read.

Why this works: the state of the shared memory closes nothing any more; that a client doesn't read shows in writing to it. And commands that are still arriving may use a quarter of the memory, so requests and replies of others find room.

It passes -race -count=20.

--- a/internal/gateway/budget/budget.go
+++ b/internal/gateway/budget/budget.go
@@ -21,9 +21,6 @@
 	ConnsPerRejected = 32
 
 	defaultConns = 400 // for clients and for backends each, if the configuration sets no limit
-
-	clientMemoryShare   = 0.25     // of the memory limit, for memory used on behalf of clients (Bytes)
-	defaultClientMemory = 32 << 20 // bytes, if the configuration sets no limit
 )
 
 // BackendConns returns the limit on open connections to backends, given the limit on descriptors. 0 descriptors means that
@@ -55,13 +52,3 @@
 
 // RejectedConns returns the limit on rejected connections held open, given the limit on client connections.
 func RejectedConns(clientConns int64) int64 { return clientConns / ConnsPerRejected }
-
-// ClientMemory returns the limit in bytes on memory used on behalf of clients, given the memory limit in MiB. 0 MiB means
-// that the configuration sets no limit.
-func ClientMemory(memoryMB int) int64 {
-	memory := float64(memoryMB<<20) * clientMemoryShare
-	if memory <= 0 {
-		memory = defaultClientMemory
-	}
-	return int64(memory)
-}
--- /dev/null
+++ b/internal/gateway/budget/clientmemory.go
@@ -0,0 +1,31 @@
+package budget
+
+const (
+	clientMemoryShare   = 0.25     // of the memory limit, for memory used on behalf of clients
+	defaultClientMemory = 32 << 20 // bytes, if the configuration sets no limit
+
+	commandBufferShare = 0.25 // of the clients' memory, for the buffers of long commands
+)
+
+// ClientMemory limits the memory used on behalf of all clients together. The total has a part for each purpose for which
+// clients could use up what the requests of others need.
+type ClientMemory struct {
+	Total *Bytes // everything: the parts below, unanswered requests and their replies
+	// CommandBuffers is the part for the buffers of long commands. They are held until the whole command has arrived, for as
+	// long as its client likes.
+	CommandBuffers *Bytes
+}
+
+// NewClientMemory returns the limits on memory used on behalf of clients, given the gateway's memory limit in MiB. 0 MiB
+// means that the configuration sets no limit.
+func NewClientMemory(memoryMB int) *ClientMemory {
+	limit := float64(memoryMB<<20) * clientMemoryShare
+	if limit <= 0 {
+		limit = defaultClientMemory
+	}
+	total := NewBytes(int64(limit))
+	return &ClientMemory{Total: total, CommandBuffers: total.part(int64(limit * commandBufferShare))}
+}
+
+// Reserved returns the number of bytes reserved for all purposes.
+func (memory *ClientMemory) Reserved() int64 { return memory.Total.Reserved() }
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -73,7 +73,7 @@
 	}
 	conn.replies.memory = down.memory
 	conn.replyCapacityOrClosed = sync.NewCond(&conn.mu)
-	conn.commands = resp.NewReader(conn, down.memory)
+	conn.commands = resp.NewReader(conn, down.memory.CommandBuffers)
 	conn.idleSince.Store(int64(down.loop.now()))
 	return conn
 }
@@ -148,7 +148,7 @@
 		return conn.replyNow(string(protocol.Busy(0)))
 	}
 	memory := int64(size) + requestOverheadBytes
-	if !down.memory.Reserve(memory) {
+	if !down.memory.Total.Reserve(memory) {
 		return conn.replyNow(string(protocol.Busy(busyRetryAfter)))
 	}
 	request := &clientRequest{Request: parsed, conn: conn, arrivedAt: arrivedAt}
--- a/internal/gateway/clientreply.go
+++ b/internal/gateway/clientreply.go
@@ -28,7 +28,7 @@
 		conn.downstream.trace.clientReaderWaited(conn, conn.downstream.loop.now()-since)
 	}
 	if conn.closed {
-		conn.downstream.memory.Release(memory)
+		conn.downstream.memory.Total.Release(memory)
 		return nil
 	}
 	return conn.appendReply(request, memory)
@@ -55,9 +55,7 @@
 	}
 	reply.text, reply.ready, reply.request = text, true, nil
 	conn.moveReadyReplies()
-	if conn.replies.exceedsUnwrittenLimit() {
-		conn.closeLocked(clientReadsTooSlowly)
-	} else if !conn.replies.writing && !conn.closed {
+	if !conn.replies.writing && !conn.closed {
 		conn.writeAvailable()
 	}
 }
--- a/internal/gateway/clientreply_test.go
+++ b/internal/gateway/clientreply_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"bellwood/internal/gateway/rawsocket"
 	"bellwood/internal/resp"
 )
 
@@ -90,3 +91,46 @@
 		t.Errorf("got error %v, want %v", err, errReadsTooSlowly)
 	}
 }
+
+// Guards against trouble of some clients ending the connection of another: clients that stop in the middle of long
+// commands use up the memory they may use, while a client that reads gets a reply of the longest length. Its next request
+// is served too.
+func TestHalfCommandsOfOthersDoNotEndAConnection(t *testing.T) {
+	gateway, ln := startWithBackend(t, withoutReuseDelay, func(cfg *Config, t *testing.T) { cfg.MemoryMB = 1 })
+	client := gateway.dial()
+	client.sendRequest("1")
+	backend := acceptCommand(t, ln)
+	whole := respCommand("Q.DO", tenantID, "2", keyedFields, strings.Repeat("b", resp.MaxValueBytes))
+	for range 8 {
+		gateway.dial().write(whole[:len(whole)-500])
+	}
+	gateway.waitForInputRead()
+	value := strings.Repeat("v", resp.MaxValueBytes)
+	backend.write(valueReply(value))
+	client.wantReply(value)
+	client.sendRequest("3")
+	backend.readMessage()
+	backend.write(valueReply(value))
+	client.wantReply(value)
+}
+
+// waitForInputRead waits until no connection that the gateway has accepted has unread bytes.
+func (gateway *testGateway) waitForInputRead() {
+	gateway.t.Helper()
+	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		unread := 0
+		down := gateway.server.downstream
+		down.mu.Lock()
+		for conn := range down.conns {
+			if !rawsocket.ReadWouldBlock(conn.socket) {
+				unread++
+			}
+		}
+		down.mu.Unlock()
+		if unread == 0 {
+			return
+		} else if time.Now().After(end) {
+			gateway.t.Fatalf("%d connections have unread bytes", unread)
+		}
+	}
+}
--- a/internal/gateway/downstream.go
+++ b/internal/gateway/downstream.go
@@ -34,8 +34,8 @@
 	service  serviceState
 	log      *slog.Logger
 	trace    trace
-	maxConns int64         // limit on open client connections
-	memory   *budget.Bytes // memory used on behalf of all clients
+	maxConns int64 // limit on open client connections
+	memory   *budget.ClientMemory
 }
 
 // downstream accepts client connections and keeps track of them. Its methods may be called from any goroutine; accept
--- a/internal/gateway/replyqueue.go
+++ b/internal/gateway/replyqueue.go
@@ -1,9 +1,6 @@
 package gateway
 
-import (
-	"bellwood/internal/gateway/budget"
-	"bellwood/internal/resp"
-)
+import "bellwood/internal/gateway/budget"
 
 const (
 	maxPipelined        = 256       // limit on commands of one connection that wait for their replies
@@ -19,11 +16,13 @@
 }
 
 // replyQueue holds the replies of a connection in the order of its commands. A reply is pending until it is moved to the
-// bytes that are to be written next, which happens once all earlier ones are ready and few bytes are unwritten. The size
-// of the ready replies therefore does not show whether the client reads them: all of them may become ready at once,
-// behind a slow one. The connection's lock guards the queue.
+// bytes that are to be written next, which happens once all earlier ones are ready and few bytes are unwritten.
+//
+// Neither the size of the ready replies nor the memory that all clients use shows whether a client reads its replies: all
+// of them may become ready at once, behind a slow one, and other clients may use the memory. Only a write that makes no
+// progress shows that (writeSteadily). The connection's lock guards the queue.
 type replyQueue struct {
-	memory    *budget.Bytes // shared by all clients
+	memory    *budget.ClientMemory // shared by all clients
 	pending   []*pendingReply
 	unwritten []byte
 	beingSent int  // bytes that writeRemaining is passing to the socket
@@ -56,7 +55,7 @@
 	for len(queue.pending) > 0 && queue.pending[0].ready && queue.unwrittenBytes() <= pauseUnwrittenBytes {
 		first := queue.pending[0]
 		queue.unwritten = append(queue.unwritten, first.text...)
-		queue.memory.Adjust(int64(len(first.text)) - first.memory)
+		queue.memory.Total.Adjust(int64(len(first.text)) - first.memory)
 		queue.pending[0] = nil
 		queue.pending = queue.pending[1:]
 		moved = true
@@ -64,15 +63,9 @@
 	return moved
 }
 
-// exceedsUnwrittenLimit reports whether the connection is to be closed because more than the longest value is unwritten
-// while the clients' memory budget is exceeded.
-func (queue *replyQueue) exceedsUnwrittenLimit() bool {
-	return len(queue.unwritten) > resp.MaxValueBytes && queue.memory.Exceeded()
-}
-
 // removeWritten removes the first n unwritten bytes after they have been written.
 func (queue *replyQueue) removeWritten(n int) {
-	queue.memory.Release(int64(n))
+	queue.memory.Total.Release(int64(n))
 	if queue.unwritten = queue.unwritten[n:]; len(queue.unwritten) == 0 {
 		queue.unwritten = nil
 	}
@@ -87,7 +80,7 @@
 
 // endSend records that the bytes of beginSend have been written, or cannot be written.
 func (queue *replyQueue) endSend() {
-	queue.memory.Release(int64(queue.beingSent))
+	queue.memory.Total.Release(int64(queue.beingSent))
 	queue.beingSent = 0
 }
 
@@ -97,9 +90,9 @@
 		if reply.request != nil {
 			unanswered = append(unanswered, reply.request)
 		}
-		queue.memory.Release(reply.memory)
+		queue.memory.Total.Release(reply.memory)
 	}
-	queue.memory.Release(int64(len(queue.unwritten)))
+	queue.memory.Total.Release(int64(len(queue.unwritten)))
 	queue.pending, queue.unwritten = nil, nil
 	return unanswered
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -90,7 +90,7 @@
 		log:      log,
 		trace:    trace{log},
 		maxConns: budget.ClientConns(cfg.Sockets, server.upstream.maxConns),
-		memory:   budget.NewBytes(budget.ClientMemory(cfg.MemoryMB)),
+		memory:   budget.NewClientMemory(cfg.MemoryMB),
 	})
 	if server.audit, err = newAuditor(server); err != nil {
 		return nil, err
