Skip and reject a command for which there is no memory, and go on behind it

What callers saw: a client that sent a long command and short ones behind it, while others used up the memory, got an error for the first and no reply for the others: the connection was closed.

Cause: a command that can't be kept was treated like malformed input, behind which the next command can't be found.

Why this works: RESP announces the length of each item, so the reader consumes such a command item by item in its first 4 KiB, rejects it with -BUSY, as nothing of it was forwarded, and goes on behind it. It must still arrive within 2.5 s.

The test failed before: TestCommandsBehindOneWithoutMemoryAreProcessed, 3 of 3 runs on, "-ERR no memory" and the end of the connection instead of four replies. TestClientMemoryIsBounded accepted -BUSY or that error, and now wants -BUSY alone, as the error is gone. The new tests pass -race -count=20; the fuzz test of the reader, which now also plays without memory, 11 s.

--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -97,14 +97,14 @@
 }
 
 // handleReadError sends an error reply for a command that could not be read. It sends none if no part of the command has
-// arrived, because the client would take it for the reply to its next command. It reports whether to continue reading,
-// which is the case only if the first command begins to arrive just at its deadline.
+// arrived, because the client would take it for the reply to its next command. It reports whether to continue reading:
+// after a command for which there was no memory, and if the first command begins to arrive just at its deadline.
 func (conn *clientConn) handleReadError(err error) bool {
 	switch {
 	case errors.Is(err, resp.ErrMalformed):
 		conn.failAndDiscard(protocol.ProtocolError)
 	case errors.Is(err, resp.ErrNoMemory):
-		conn.failAndDiscard(protocol.NoMemory)
+		return conn.rejectSkipped()
 	case errors.Is(err, os.ErrDeadlineExceeded) && conn.commands.Partial():
 		conn.failAndDiscard(protocol.CommandIncomplete)
 	case errors.Is(err, os.ErrDeadlineExceeded) && !conn.closeIfBetweenRequests(clientFirstTimeout):
@@ -115,6 +115,14 @@
 	return false
 }
 
+// rejectSkipped rejects a command that was not kept for lack of memory, and reports whether to continue reading. The
+// client's further commands are processed, as it is not to blame: the memory may be used by others.
+func (conn *clientConn) rejectSkipped() bool {
+	conn.commandDeadline = time.Time{}
+	conn.commandReceived.Store(true)
+	return conn.replyNow(string(protocol.Busy(busyRetryAfter)))
+}
+
 // handleCommand handles one command and reports whether to continue reading.
 func (conn *clientConn) handleCommand(message redcon.RESP) bool {
 	args, ok := protocol.Arguments(message)
--- a/internal/gateway/clientreply_test.go
+++ b/internal/gateway/clientreply_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"bellwood/internal/gateway/protocol"
 	"bellwood/internal/gateway/rawsocket"
 	"bellwood/internal/resp"
 )
@@ -114,6 +115,36 @@
 	client.wantReply(value)
 }
 
+// Guards against a client losing the commands behind a long one for which others have left no memory: the long one is
+// rejected, and those behind it are processed.
+func TestCommandsBehindOneWithoutMemoryAreProcessed(t *testing.T) {
+	gateway, ln := startWithBackend(t)
+	memory := gateway.server.downstream.memory.CommandBuffers
+	for memory.Reserve(1) { // other clients use all of it
+	}
+	client := gateway.dial()
+	long := respCommand("Q.DO", tenantID, "1", keyedFields, strings.Repeat("b", resp.MaxValueBytes))
+	client.write(long + requestCommand("2") + long + respCommand("PING"))
+	client.wantReplyPrefix("-BUSY ")
+	acceptCommand(t, ln).write(valueReply("value"))
+	client.wantReply("value")
+	client.wantReplyPrefix("-BUSY ")
+	client.wantReply("+PONG")
+}
+
+// A command for which there is no memory must arrive in time, like any other.
+func TestSkippedCommandMustArriveInTime(t *testing.T) {
+	gateway := startGateway(t, nil)
+	memory := gateway.server.downstream.memory.CommandBuffers
+	for memory.Reserve(1) {
+	}
+	client := gateway.dial()
+	whole := respCommand("Q.DO", tenantID, "1", keyedFields, strings.Repeat("b", resp.MaxValueBytes))
+	client.write(whole[:len(whole)-500])
+	client.wantReply(strings.TrimSpace(protocol.CommandIncomplete))
+	client.wantClosed()
+}
+
 // waitForInputRead waits until no connection that the gateway has accepted has unread bytes.
 func (gateway *testGateway) waitForInputRead() {
 	gateway.t.Helper()
--- a/internal/gateway/downstream_test.go
+++ b/internal/gateway/downstream_test.go
@@ -284,8 +284,8 @@
 		client.wantReplyPrefix("-LOADING")
 	}
 	busy := strings.TrimSpace(string(protocol.Busy(busyRetryAfter)))
-	if m := last.readMessage(); m[0] != busy && !strings.HasPrefix(m[0], "-ERR no memory") {
-		t.Errorf("got %q, want %q or an error for lack of memory", m, busy)
+	if m := last.readMessage(); m[0] != busy {
+		t.Errorf("got %q, want %q", m, busy)
 	}
 	if reserved := gateway.server.downstream.memory.Reserved(); reserved > 1<<18 {
 		t.Errorf("%d bytes are reserved, want at most %d", reserved, 1<<18)
--- a/internal/gateway/protocol/answer.go
+++ b/internal/gateway/protocol/answer.go
@@ -17,7 +17,6 @@
 	IDInUse           = "-ERR the id is that of an open request\r\n"
 	ProtocolError     = "-ERR Protocol error\r\n"
 	NotBulkStrings    = "-ERR Protocol error: expected an array of bulk strings\r\n"
-	NoMemory          = "-ERR no memory for a command as long as this\r\n"
 	CommandIncomplete = "-ERR the command has not come in time\r\n"
 )
 
--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -10,6 +10,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"strconv"
@@ -32,8 +33,9 @@
 // Nothing more can be read from the stream, as the start of the next message is unknown.
 var ErrMalformed = errors.New("malformed RESP")
 
-// ErrNoMemory means that the Reader's MemoryBudget refused the memory to grow the buffer for a longer message. What has been
-// read of the message stays buffered, so Next or Fill can be retried.
+// ErrNoMemory means that the Reader's MemoryBudget refused the memory to grow the buffer for a longer message. Next has then
+// consumed the whole message without keeping it, and can be called for the message behind it. After Fill, what has been
+// read stays buffered, and Fill can be retried.
 var ErrNoMemory = errors.New("no memory left for a message")
 
 // MemoryBudget limits the total buffer memory of several Readers. Implementations must be safe for concurrent use.
@@ -49,7 +51,8 @@
 	source   io.Reader
 	budget   MemoryBudget // for buffer memory beyond BufferBytes; nil: unlimited
 	buffer   []byte
-	consumed int // bytes at the start of buffer that Next has returned
+	consumed int  // bytes at the start of buffer that Next has returned
+	skipping bool // part of a message has been consumed without being kept
 }
 
 // NewReader returns a Reader of source. It reserves buffer memory beyond BufferBytes from budget; Release returns it. If
@@ -59,7 +62,8 @@
 }
 
 // Next returns the next message, and blocks until it is complete. The message's bytes are valid until the next call of
-// Next, Fill or Release. The error is ErrMalformed, ErrNoMemory or the unchanged error of the stream.
+// Next, Fill or Release. The error is ErrMalformed, the unchanged error of the stream, or ErrNoMemory once a message for
+// which there was no memory has arrived completely.
 func (r *Reader) Next() (redcon.RESP, error) {
 	for {
 		length, err := frameLength(r.Buffered(), maxArrayDepth)
@@ -77,7 +81,9 @@
 		if r.ReadAheadLeft() <= 0 {
 			return redcon.RESP{}, ErrMalformed
 		}
-		if err := r.Fill(); err != nil {
+		if err := r.Fill(); errors.Is(err, ErrNoMemory) {
+			return redcon.RESP{}, cmp.Or(r.skipMessage(), err)
+		} else if err != nil {
 			return redcon.RESP{}, err
 		}
 	}
@@ -121,8 +127,8 @@
 // Next, Fill or Release.
 func (r *Reader) Buffered() []byte { return r.buffer[r.consumed:] }
 
-// Partial reports whether bytes of a further message are buffered.
-func (r *Reader) Partial() bool { return len(r.Buffered()) > 0 }
+// Partial reports whether part of a further message has been read.
+func (r *Reader) Partial() bool { return r.skipping || len(r.Buffered()) > 0 }
 
 // ReadAheadLeft returns how many more bytes can be buffered ahead of Next. At 0 there is no room left for Fill.
 func (r *Reader) ReadAheadLeft() int { return MaxMessageBytes - len(r.Buffered()) }
@@ -132,7 +138,7 @@
 	if r.budget != nil && cap(r.buffer) > BufferBytes {
 		r.budget.Release(int64(cap(r.buffer) - BufferBytes))
 	}
-	r.buffer, r.consumed = nil, 0
+	r.buffer, r.consumed, r.skipping = nil, 0, false
 }
 
 // frameLength returns the length of the first message in b, or 0 if it is incomplete. It rejects input that can't become
@@ -180,11 +186,11 @@
 // bulkLength returns the length of the bulk string at the start of b, whose first line has the length lineLength and
 // announces sizeText bytes. It returns 0 if the string is incomplete. A size of -1 means a null bulk string.
 func bulkLength(b []byte, lineLength int, sizeText string) (int, error) {
-	size, err := strconv.Atoi(sizeText)
+	size, err := bulkSize(sizeText)
 	end := lineLength + size
 	switch {
-	case err != nil || size < -1 || size > MaxValueBytes:
-		return 0, ErrMalformed
+	case err != nil:
+		return 0, err
 	case size < 0:
 		return lineLength, nil
 	case len(b) < end+len("\r\n"):
@@ -195,12 +201,21 @@
 	return end + len("\r\n"), nil
 }
 
+// bulkSize returns the number of bytes that the first line of a bulk string announces, or -1 for a null bulk string.
+func bulkSize(sizeText string) (int, error) {
+	size, err := strconv.Atoi(sizeText)
+	if err != nil || size < -1 || size > MaxValueBytes {
+		return 0, ErrMalformed
+	}
+	return size, nil
+}
+
 // arrayLength returns the length of the array at the start of b, whose first line has the length lineLength and
 // announces countText items. It returns 0 if the array is incomplete. A count of -1 means a null array.
 func arrayLength(b []byte, lineLength int, countText string, maxDepth int) (int, error) {
-	count, err := strconv.Atoi(countText)
-	if err != nil || count < -1 || count > maxArrayItems || maxDepth == 0 {
-		return 0, ErrMalformed
+	count, err := arrayCount(countText, maxDepth)
+	if err != nil {
+		return 0, err
 	}
 	length := lineLength
 	for range count {
@@ -212,3 +227,13 @@
 	}
 	return length, nil
 }
+
+// arrayCount returns the number of items that the first line of an array announces, or -1 for a null array. Arrays may be
+// nested up to maxDepth.
+func arrayCount(countText string, maxDepth int) (int, error) {
+	count, err := strconv.Atoi(countText)
+	if err != nil || count < -1 || count > maxArrayItems || maxDepth == 0 {
+		return 0, ErrMalformed
+	}
+	return count, nil
+}
--- a/internal/resp/reader_test.go
+++ b/internal/resp/reader_test.go
@@ -56,14 +56,66 @@
 	}
 }
 
-// No input makes the reader panic or read for ever.
+// noMemory is a MemoryBudget that refuses all memory.
+type noMemory struct{}
+
+func (noMemory) Reserve(int64) bool { return false }
+func (noMemory) Release(int64)      {}
+
+// A message for which there is no memory is consumed completely, however its bytes arrive, and the message behind it is
+// returned.
+func TestReaderContinuesBehindAMessageWithoutMemory(t *testing.T) {
+	long := "$60000\r\n" + strings.Repeat("x", 60000) + "\r\n"
+	for name, skipped := range map[string]string{
+		"bulk string":     long,
+		"array":           "*4\r\n$4\r\nQ.DO\r\n" + long + "$-1\r\n:5\r\n",
+		"array in array":  "*2\r\n*2\r\n+a\r\n" + long + "$0\r\n\r\n",
+		"short tail":      "*2\r\n$4085\r\n" + strings.Repeat("x", 4085) + "\r\n$1\r\nb\r\n",
+		"long first line": "*2\r\n" + long + "+" + strings.Repeat("a", maxLineBytes-3) + "\r\n",
+	} {
+		for how, stream := range map[string]func(io.Reader) io.Reader{"at once": func(r io.Reader) io.Reader { return r },
+			"in halves": iotest.HalfReader, "in single bytes": iotest.OneByteReader} {
+			in := NewReader(stream(strings.NewReader(skipped+"+OK\r\n")), noMemory{})
+			if _, err := in.Next(); !errors.Is(err, ErrNoMemory) {
+				t.Errorf("%s %s: got error %v, want %v", name, how, err, ErrNoMemory)
+			}
+			if message, err := in.Next(); err != nil || string(message.Raw) != "+OK\r\n" {
+				t.Errorf("%s %s: got %q and error %v behind it, want +OK", name, how, message.Raw, err)
+			}
+		}
+	}
+}
+
+// A message that is skipped for lack of memory counts as partly read until its end, and is held to the same limits.
+func TestReaderRejectsMalformedMessageWithoutMemory(t *testing.T) {
+	long := "$65000\r\n" + strings.Repeat("x", 65000)
+	for name, c := range map[string]struct {
+		text string
+		want error
+	}{
+		"unfinished":       {"*2\r\n" + long[:30000], io.EOF},
+		"without CRLF":     {"*2\r\n" + long + "xx", ErrMalformed},
+		"second too long":  {"*2\r\n" + long + "\r\n$65537\r\n", ErrMalformed},
+		"message too long": {"*2\r\n" + long + "\r\n" + long + "\r\n", ErrMalformed},
+	} {
+		in := NewReader(strings.NewReader(c.text), noMemory{})
+		if _, err := in.Next(); !errors.Is(err, c.want) || !in.Partial() {
+			t.Errorf("%s: got error %v and Partial() = %v, want %v and true", name, err, in.Partial(), c.want)
+		}
+	}
+}
+
+// No input makes the reader panic or read for ever, whether or not there is memory for long messages.
 func FuzzReader(f *testing.F) {
 	f.Add("*1\r\n$4\r\nPING\r\n")
+	f.Add("*2\r\n$5000\r\n" + strings.Repeat("x", 5000) + "\r\n$1\r\nb\r\n")
 	f.Fuzz(func(t *testing.T, stream string) {
-		in := NewReader(strings.NewReader(stream), nil)
-		for {
-			if _, err := in.Next(); err != nil {
-				return
+		for _, budget := range []MemoryBudget{nil, noMemory{}} {
+			in := NewReader(strings.NewReader(stream), budget)
+			for {
+				if _, err := in.Next(); err != nil && !errors.Is(err, ErrNoMemory) {
+					break
+				}
 			}
 		}
 	})
