Count a client's time from the arrival of its command, not from its parsing

What callers saw: of 500 commands sent at once, those behind the first 256 were served after their time, and backends were told more time than the clients had left, in all classes.

Cause: the time of arrival was taken when a command was parsed. The reader parses nothing while 256 commands are open or the event loop's queue is full, so commands that waited in its buffer or in the socket began their time anew.

Why this works: input counts as arrived when the socket was last found empty, which is the earliest possible time.

--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -43,6 +43,7 @@
 
 	// Used by the reader only.
 	commands            *resp.Reader
+	arrival             arrivalClock
 	commandDeadline     time.Time // for receiving the current or the first command; zero: no command has begun to arrive
 	readingAhead        bool      // input is buffered without processing commands, to detect a disconnect
 	deadlineSet         bool      // the socket has a read deadline
@@ -74,7 +75,9 @@
 	conn.replies.memory = down.memory
 	conn.replyCapacityOrClosed = sync.NewCond(&conn.mu)
 	conn.commands = resp.NewReader(conn, down.memory.CommandBuffers)
-	conn.idleSince.Store(int64(down.loop.now()))
+	now := down.loop.now()
+	conn.arrival = newArrivalClock(now)
+	conn.idleSince.Store(int64(now))
 	return conn
 }
 
@@ -146,7 +149,6 @@
 // reading.
 func (conn *clientConn) takeRequest(command string, args [][]byte, size int) bool {
 	down := conn.downstream
-	arrivedAt := down.loop.now()
 	parsed, err := down.parser.Parse(command, args)
 	if err != nil {
 		return conn.replyInvalid(protocol.Error(err))
@@ -159,7 +161,7 @@
 	if !down.memory.Total.Reserve(memory) {
 		return conn.replyNow(string(protocol.Busy(busyRetryAfter)))
 	}
-	request := &clientRequest{Request: parsed, conn: conn, arrivedAt: arrivedAt}
+	request := &clientRequest{Request: parsed, conn: conn, arrivedAt: conn.arrival.arrivedAt}
 	if request.reply = conn.reserveReply(request, memory); request.reply == nil {
 		return false
 	}
--- a/internal/gateway/clientreader.go
+++ b/internal/gateway/clientreader.go
@@ -46,7 +46,19 @@
 // outside the read, where a close does not wait for the reader. TestCloseDoesNotDeadlockWithServe,
 // TestCloseDoesNotDeadlockWithARead and TestReadContinuesOnceTheLockIsFree cover this.
 func (conn *clientConn) receive(buffer []byte) (int, error) {
+	read := socketRead{begunAt: conn.downstream.loop.now(), ahead: conn.readingAhead}
+	n, err := conn.readSocket(buffer, &read.waited)
+	if n > 0 {
+		read.endedAt, read.emptied = conn.downstream.loop.now(), n < len(buffer)
+		conn.arrival.inputRead(read)
+	}
+	return n, err
+}
+
+// readSocket does what receive describes. It sets waited if the socket is empty at first.
+func (conn *clientConn) readSocket(buffer []byte, waited *bool) (int, error) {
 	if conn.rawSocket == nil {
+		*waited = true
 		return conn.socket.Read(buffer)
 	}
 	for {
@@ -58,6 +70,7 @@
 			}
 			defer conn.mu.Unlock()
 			n, failure = conn.readLocked(int(fd), buffer)
+			*waited = *waited || failure == syscall.EAGAIN
 			return failure != syscall.EAGAIN
 		})
 		switch {
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -12,7 +12,7 @@
 	conn      *clientConn
 	reply     *pendingReply // its entry in the connection's reply queue
 	id        uint64        // assigned by requestTable; 0 if not accepted; the client's own id is ClientID
-	arrivedAt time.Duration // event loop time at which its last byte was read
+	arrivedAt time.Duration // event loop time before which its last byte cannot have arrived (arrivalClock)
 }
 
 // answer sends the reply to the request without waiting for the client. Only the first call has an effect.
--- a/internal/gateway/closedeadlock_test.go
+++ b/internal/gateway/closedeadlock_test.go
@@ -16,7 +16,7 @@
 	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
 		all := string(stacks[:runtime.Stack(stacks, true)])
 		for stack := range strings.SplitSeq(all, "\n\n") {
-			if strings.Contains(stack, fmt.Sprintf("(*clientConn).receive(%p", conn)) && strings.Contains(stack, state) {
+			if strings.Contains(stack, fmt.Sprintf("(*clientConn).readSocket(%p", conn)) && strings.Contains(stack, state) {
 				return
 			}
 		}
