Count input from before a stall only if it filled the socket

A gateway that is short of processor time stalls for 10 ms often, though a short command always fits the socket, so some requests had less time than their clients. Now only a backlog of 16 KiB or more that took 10 ms has that effect: only then can TCP have kept input back at the client.

TestArrivalClock has the new cases, and TestDeadlineCountsFromArrivalHoweverCommandsWait stays as it was.

--- a/internal/gateway/arrivalclock_test.go
+++ b/internal/gateway/arrivalclock_test.go
@@ -70,32 +70,36 @@
 	return func() {}
 }
 
-// Input counts as arrived when the socket was last known to be empty, before a stall of the reader if there was one.
+// Input counts as arrived when the socket was last known to be empty. What comes soon after a long backlog may have been
+// sent during it.
 func TestArrivalClock(t *testing.T) {
-	const ms = time.Millisecond
-	inTime := func(read socketRead) socketRead { // the reader begins to read at once
-		read.begunAt = read.endedAt
-		return read
-	}
+	const ms, short, long = time.Millisecond, 100, minWindowBytes
+	first := socketRead{begunAt: 1000 * ms, endedAt: 5000 * ms, bytes: short, waited: true, emptied: true}
+	backlog := socketRead{begunAt: 7000 * ms, endedAt: 7001 * ms, bytes: long, emptied: true}
 	for name, test := range map[string]struct {
 		reads []socketRead
 		want  time.Duration
 	}{
-		"waited for":                   {[]socketRead{{1000 * ms, 9000 * ms, true, true, false}}, 9000 * ms},
-		"there at once":                {[]socketRead{inTime(socketRead{endedAt: 1005 * ms, emptied: true})}, 1000 * ms},
-		"behind a read that emptied":   {[]socketRead{{1000 * ms, 5000 * ms, true, true, false}, inTime(socketRead{endedAt: 5005 * ms})}, 5000 * ms},
-		"behind a read that left some": {[]socketRead{{1000 * ms, 5000 * ms, true, false, false}, inTime(socketRead{endedAt: 5009 * ms})}, 5000 * ms},
-		"with unprocessed input before": {[]socketRead{{1000 * ms, 5000 * ms, true, true, false},
-			{5000 * ms, 9000 * ms, true, true, true}}, 5000 * ms},
-		"after what was read ahead": {[]socketRead{{1000 * ms, 5000 * ms, true, true, true}, inTime(socketRead{endedAt: 5005 * ms})}, 5000 * ms},
-		"after a stall":             {[]socketRead{{1000 * ms, 5000 * ms, true, true, false}, inTime(socketRead{endedAt: 7000 * ms})}, 5000 * ms},
-		"waited for after a stall": {[]socketRead{{1000 * ms, 5000 * ms, true, true, false}, inTime(socketRead{endedAt: 7000 * ms}),
-			{7000 * ms, 7050 * ms, true, true, false}}, 5000 * ms},
-		"waited for after a stall upon another": {[]socketRead{{1000 * ms, 5000 * ms, true, true, false},
-			inTime(socketRead{endedAt: 7000 * ms}), {7050 * ms, 7060 * ms, true, true, false},
-			{7060 * ms, 7120 * ms, true, true, false}}, 5000 * ms},
-		"long after a stall": {[]socketRead{{1000 * ms, 5000 * ms, true, true, false}, inTime(socketRead{endedAt: 7000 * ms}),
-			{7000 * ms, 7200 * ms, true, true, false}}, 7200 * ms},
+		"waited for":                 {[]socketRead{first}, 5000 * ms},
+		"there at once":              {[]socketRead{{1000 * ms, 1005 * ms, short, false, true, false}}, 1000 * ms},
+		"behind a read that emptied": {[]socketRead{first, {5000 * ms, 5005 * ms, short, false, true, false}}, 5000 * ms},
+		"behind a read that left some": {[]socketRead{{1000 * ms, 5000 * ms, short, true, false, false},
+			{8000 * ms, 8005 * ms, short, false, true, false}}, 5000 * ms},
+		"with unprocessed input before": {[]socketRead{first, {5000 * ms, 9000 * ms, short, true, true, true}}, 5000 * ms},
+		"after what was read ahead": {[]socketRead{{1000 * ms, 5000 * ms, short, true, true, true},
+			{5000 * ms, 5005 * ms, short, false, true, false}}, 5000 * ms},
+		"a long backlog": {[]socketRead{first, backlog}, 5000 * ms},
+		"soon after a long backlog": {[]socketRead{first, backlog, {7001 * ms, 7050 * ms, short, true, true, false}},
+			5000 * ms},
+		"soon after a long backlog of two reads": {[]socketRead{first, {7000 * ms, 7001 * ms, long / 2, false, false, false},
+			{7001 * ms, 7002 * ms, long / 2, false, false, false}, {7002 * ms, 7050 * ms, short, true, true, false}}, 5000 * ms},
+		"soon after a second long backlog": {[]socketRead{first, backlog, {7040 * ms, 7090 * ms, long, false, true, false},
+			{7090 * ms, 7150 * ms, short, true, true, false}}, 5000 * ms},
+		"long after a long backlog": {[]socketRead{first, backlog, {7001 * ms, 7200 * ms, short, true, true, false}}, 7200 * ms},
+		"soon after a short backlog": {[]socketRead{first, {7000 * ms, 7001 * ms, long - 1, false, true, false},
+			{7001 * ms, 7050 * ms, short, true, true, false}}, 7050 * ms},
+		"soon after a long backlog that was read at once": {[]socketRead{first, {5000 * ms, 5001 * ms, long, false, true, false},
+			{5001 * ms, 5050 * ms, short, true, true, false}}, 5050 * ms},
 	} {
 		clock := newArrivalClock(1000 * ms)
 		for _, read := range test.reads {
--- a/internal/gateway/clientreader.go
+++ b/internal/gateway/clientreader.go
@@ -49,7 +49,7 @@
 	read := socketRead{begunAt: conn.downstream.loop.now(), ahead: conn.readingAhead}
 	n, err := conn.readSocket(buffer, &read.waited)
 	if n > 0 {
-		read.endedAt, read.emptied = conn.downstream.loop.now(), n < len(buffer)
+		read.endedAt, read.bytes, read.emptied = conn.downstream.loop.now(), n, n < len(buffer)
 		conn.arrival.inputRead(read)
 	}
 	return n, err
