Reserve memory for the replies of requests behind others before forwarding them

What callers saw: nothing at the gateway's usual limits, but a process over its memory limit is killed with all its requests.

Cause: a reply that was ready behind a slow one was counted only once it was moved to the bytes that are to be written. Until then up to 256 of 64 KiB on each connection were in no budget, and since connections aren't closed for their replies' size any more, nothing else bounds them.

Why this works: a request behind others is accepted only if memory can be reserved for a reply as long as the longest of the last ones (at first 64 KiB), and is rejected with -BUSY otherwise, before it is forwarded. Ready replies count until they are written. If replies become longer at once and find no memory, their requests fail: the limit holds, and each client gets a reply.

--- a/internal/gateway/budget/clientmemory.go
+++ b/internal/gateway/budget/clientmemory.go
@@ -5,6 +5,9 @@
 	defaultClientMemory = 32 << 20 // bytes, if the configuration sets no limit
 
 	commandBufferShare = 0.25 // of the clients' memory, for the buffers of long commands
+	replyShare         = 0.5  // of the clients' memory, for replies
+
+	maxReplyBytes = 64<<10 + 16 // the longest value with its size line and CRLF
 )
 
 // ClientMemory limits the memory used on behalf of all clients together. The total has a part for each purpose for which
@@ -14,6 +17,11 @@
 	// CommandBuffers is the part for the buffers of long commands. They are held until the whole command has arrived, for as
 	// long as its client likes.
 	CommandBuffers *Bytes
+	// Replies is the part for replies: reserved for those of requests behind others on their connections, and used by those
+	// that are ready until they are written.
+	Replies *Bytes
+	// ReplyLength estimates the length of the next value. It begins with the longest.
+	ReplyLength *SizeEstimate
 }
 
 // NewClientMemory returns the limits on memory used on behalf of clients, given the gateway's memory limit in MiB. 0 MiB
@@ -24,7 +32,12 @@
 		limit = defaultClientMemory
 	}
 	total := NewBytes(int64(limit))
-	return &ClientMemory{Total: total, CommandBuffers: total.part(int64(limit * commandBufferShare))}
+	return &ClientMemory{
+		Total:          total,
+		CommandBuffers: total.part(int64(limit * commandBufferShare)),
+		Replies:        total.part(int64(limit * replyShare)),
+		ReplyLength:    NewSizeEstimate(maxReplyBytes),
+	}
 }
 
 // Reserved returns the number of bytes reserved for all purposes.
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -20,8 +20,6 @@
 	firstCommandTimeout = 2500 * time.Millisecond // for receiving the first command, from accepting the connection
 	commandTimeout      = 2500 * time.Millisecond // for receiving any later command, from its first bytes
 
-	requestOverheadBytes = 1 << 10 // memory charged for a request in addition to its text
-
 	invalidCommandDelay    = 50 * time.Millisecond // after an invalid command, from the second since the last valid request on
 	maxInvalidSinceRequest = 16                    // the connection is closed at this many since the last valid request
 )
@@ -157,14 +155,15 @@
 	if conn.isFinishing() { // the client can try another gateway
 		return conn.replyNow(string(protocol.Busy(0)))
 	}
-	memory := int64(size) + requestOverheadBytes
-	if !down.memory.Total.Reserve(memory) {
-		return conn.replyNow(string(protocol.Busy(busyRetryAfter)))
-	}
-	request := &clientRequest{Request: parsed, conn: conn, arrivedAt: conn.arrival.arrivedAt}
-	if request.reply = conn.reserveReply(request, memory); request.reply == nil {
+	reply := conn.reserveReply()
+	if reply == nil {
 		return false
 	}
+	request := &clientRequest{Request: parsed, conn: conn, reply: reply, arrivedAt: conn.arrival.arrivedAt}
+	if !conn.acceptRequest(reply, request, size) {
+		conn.answer(reply, protocol.Busy(busyRetryAfter))
+		return true
+	}
 	down.loop.post(func() { down.requests.requestArrived(request) })
 	return true
 }
--- a/internal/gateway/clientreader.go
+++ b/internal/gateway/clientreader.go
@@ -161,7 +161,7 @@
 	conn.socket.SetReadDeadline(time.Time{})
 	conn.mu.Lock()
 	conn.discarding = true
-	reply := conn.appendReply(nil, 0)
+	reply := conn.appendReply()
 	conn.mu.Unlock()
 	conn.commands.Release()
 	conn.answer(reply, []byte(line))
--- a/internal/gateway/clientreply.go
+++ b/internal/gateway/clientreply.go
@@ -10,14 +10,14 @@
 // replyNow queues a reply that is known already, and reports whether the connection is still open. The reply is written
 // after those to earlier commands.
 func (conn *clientConn) replyNow(line string) bool {
-	reply := conn.reserveReply(nil, 0)
+	reply := conn.reserveReply()
 	conn.answer(reply, []byte(line))
 	return reply != nil
 }
 
 // reserveReply adds an entry for the next reply. It waits while the queue is full, and returns nil if the connection has
-// ended. The caller has reserved the memory from the budget; it is released if the result is nil.
-func (conn *clientConn) reserveReply(request *clientRequest, memory int64) *pendingReply {
+// ended.
+func (conn *clientConn) reserveReply() *pendingReply {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	if conn.replies.full() && !conn.closed {
@@ -28,19 +28,33 @@
 		conn.downstream.trace.clientReaderWaited(conn, conn.downstream.loop.now()-since)
 	}
 	if conn.closed {
-		conn.downstream.memory.Total.Release(memory)
 		return nil
 	}
-	return conn.appendReply(request, memory)
+	return conn.appendReply()
+}
+
+// acceptRequest makes an entry that of a request, and reports whether there is memory for the request and its reply.
+func (conn *clientConn) acceptRequest(reply *pendingReply, request *clientRequest, commandBytes int) bool {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.replies.acceptRequest(reply, request, commandBytes)
 }
 
 // appendReply adds an entry for the next reply without checking for capacity. The caller holds mu.
-func (conn *clientConn) appendReply(request *clientRequest, memory int64) *pendingReply {
-	reply := conn.replies.add(request, memory)
+func (conn *clientConn) appendReply() *pendingReply {
+	reply := conn.replies.add()
 	conn.idleSince.Store(notEvictable)
 	return reply
 }
 
+// answerValue sets a backend's value as the text of a reply.
+func (conn *clientConn) answerValue(reply *pendingReply, value []byte) {
+	if reply != nil {
+		conn.downstream.memory.ReplyLength.Observe(len(value))
+	}
+	conn.answer(reply, value)
+}
+
 // answer sets the text of a reply. It does nothing if the reply is nil or has a text already. It then writes the replies
 // that are ready, as far as the socket accepts them without waiting. A separate goroutine writes the remainder, because a
 // slow client must not block the caller, which may be the event loop.
@@ -53,7 +67,9 @@
 	if reply.ready {
 		return
 	}
-	reply.text, reply.ready, reply.request = text, true, nil
+	if !conn.replies.setReady(reply, text) {
+		conn.downstream.trace.replyDiscarded(conn, len(text))
+	}
 	conn.moveReadyReplies()
 	if !conn.replies.writing && !conn.closed {
 		conn.writeAvailable()
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -15,5 +15,10 @@
 	arrivedAt time.Duration // event loop time before which its last byte cannot have arrived (arrivalClock)
 }
 
+// answerValue sends a backend's value like answer does.
+func (request *clientRequest) answerValue(value []byte) {
+	request.conn.answerValue(request.reply, value)
+}
+
 // answer sends the reply to the request without waiting for the client. Only the first call has an effect.
 func (request *clientRequest) answer(text []byte) { request.conn.answer(request.reply, text) }
--- a/internal/gateway/replyqueue.go
+++ b/internal/gateway/replyqueue.go
@@ -1,18 +1,24 @@
 package gateway
 
-import "bellwood/internal/gateway/budget"
+import (
+	"bellwood/internal/gateway/budget"
+	"bellwood/internal/gateway/protocol"
+)
 
 const (
-	maxPipelined        = 256       // limit on commands of one connection that wait for their replies
-	pauseUnwrittenBytes = 256 << 10 // above this many unwritten reply bytes, no command is read and no reply is moved
+	maxPipelined         = 256       // limit on commands of one connection that wait for their replies
+	pauseUnwrittenBytes  = 256 << 10 // above this many unwritten reply bytes, no command is read and no reply is moved
+	requestOverheadBytes = 1 << 10   // memory charged for a request in addition to its text
+	minReplyBytes        = 256       // least memory reserved for a reply that has to wait
 )
 
 // pendingReply is a command's entry in the reply queue of its connection. The connection's lock guards it.
 type pendingReply struct {
-	text    []byte
-	ready   bool
-	request *clientRequest // nil if the command is not a request, or once the reply is ready
-	memory  int64          // bytes of the budget reserved for the request until it is answered
+	text          []byte
+	ready         bool           // the text is set, or the queue has been released
+	request       *clientRequest // nil if the command is not a request, or once the reply is ready
+	commandMemory int64          // bytes of the clients' memory reserved for the request until the reply is ready
+	replyMemory   int64          // bytes of the part for replies: reserved for the reply, or its length once it is ready
 }
 
 // replyQueue holds the replies of a connection in the order of its commands. A reply is pending until it is moved to the
@@ -20,7 +26,11 @@
 //
 // Neither the size of the ready replies nor the memory that all clients use shows whether a client reads its replies: all
 // of them may become ready at once, behind a slow one, and other clients may use the memory. Only a write that makes no
-// progress shows that (writeSteadily). The connection's lock guards the queue.
+// progress shows that (writeSteadily).
+//
+// A reply that is ready may have to wait for earlier ones, for as long as these take. So a request behind others is
+// accepted only if memory can be reserved for a reply of the expected length. The next reply to be written needs none: it
+// leaves the gateway as soon as its client reads. The connection's lock guards the queue.
 type replyQueue struct {
 	memory    *budget.ClientMemory // shared by all clients
 	pending   []*pendingReply
@@ -43,19 +53,58 @@
 }
 
 // add appends an entry for the next reply.
-func (queue *replyQueue) add(request *clientRequest, memory int64) *pendingReply {
-	reply := &pendingReply{request: request, memory: memory}
+func (queue *replyQueue) add() *pendingReply {
+	reply := &pendingReply{}
 	queue.pending = append(queue.pending, reply)
 	return reply
 }
 
+// acceptRequest makes an entry that of a request whose command has the given length, and reports whether there is memory
+// for it.
+func (queue *replyQueue) acceptRequest(reply *pendingReply, request *clientRequest, commandBytes int) bool {
+	commandMemory := int64(commandBytes) + requestOverheadBytes
+	replyMemory := int64(0)
+	if !queue.isNext(reply) {
+		replyMemory = max(queue.memory.ReplyLength.Bytes(), minReplyBytes)
+	}
+	if !queue.memory.Total.Reserve(commandMemory) {
+		return false
+	}
+	if !queue.memory.Replies.Reserve(replyMemory) {
+		queue.memory.Total.Release(commandMemory)
+		return false
+	}
+	reply.request, reply.commandMemory, reply.replyMemory = request, commandMemory, replyMemory
+	return true
+}
+
+// isNext reports whether a pending reply is the next one to be written, so that nothing but its client can make it wait.
+func (queue *replyQueue) isNext(reply *pendingReply) bool {
+	return queue.pending[0] == reply && queue.unwrittenBytes() <= pauseUnwrittenBytes
+}
+
+// setReady sets the text of a pending reply, and reports whether it was kept. If the reply to a request has to wait and is
+// longer than expected, and there is no memory for that, the request fails.
+func (queue *replyQueue) setReady(reply *pendingReply, text []byte) (kept bool) {
+	kept = true
+	if more := int64(len(text)) - reply.replyMemory; reply.request != nil && more > 0 && !queue.isNext(reply) {
+		if kept = queue.memory.Replies.Reserve(more); kept {
+			reply.replyMemory += more
+		} else {
+			text = []byte(protocol.Failed)
+		}
+	}
+	queue.memory.Replies.Adjust(int64(len(text)) - reply.replyMemory)
+	queue.memory.Total.Release(reply.commandMemory)
+	*reply = pendingReply{text: text, ready: true, replyMemory: int64(len(text))}
+	return kept
+}
+
 // moveReady moves replies before the first that is not ready from pending to unwritten, until more than
 // pauseUnwrittenBytes are unwritten. It reports whether it moved any.
 func (queue *replyQueue) moveReady() (moved bool) {
 	for len(queue.pending) > 0 && queue.pending[0].ready && queue.unwrittenBytes() <= pauseUnwrittenBytes {
-		first := queue.pending[0]
-		queue.unwritten = append(queue.unwritten, first.text...)
-		queue.memory.Total.Adjust(int64(len(first.text)) - first.memory)
+		queue.unwritten = append(queue.unwritten, queue.pending[0].text...)
 		queue.pending[0] = nil
 		queue.pending = queue.pending[1:]
 		moved = true
@@ -65,7 +114,7 @@
 
 // removeWritten removes the first n unwritten bytes after they have been written.
 func (queue *replyQueue) removeWritten(n int) {
-	queue.memory.Total.Release(int64(n))
+	queue.memory.Replies.Release(int64(n))
 	if queue.unwritten = queue.unwritten[n:]; len(queue.unwritten) == 0 {
 		queue.unwritten = nil
 	}
@@ -80,7 +129,7 @@
 
 // endSend records that the bytes of beginSend have been written, or cannot be written.
 func (queue *replyQueue) endSend() {
-	queue.memory.Total.Release(int64(queue.beingSent))
+	queue.memory.Replies.Release(int64(queue.beingSent))
 	queue.beingSent = 0
 }
 
@@ -90,9 +139,11 @@
 		if reply.request != nil {
 			unanswered = append(unanswered, reply.request)
 		}
-		queue.memory.Total.Release(reply.memory)
+		queue.memory.Total.Release(reply.commandMemory)
+		queue.memory.Replies.Release(reply.replyMemory)
+		*reply = pendingReply{ready: true}
 	}
-	queue.memory.Total.Release(int64(len(queue.unwritten)))
+	queue.memory.Replies.Release(int64(len(queue.unwritten)))
 	queue.pending, queue.unwritten = nil, nil
 	return unanswered
 }
--- a/internal/gateway/requesttable.go
+++ b/internal/gateway/requesttable.go
@@ -177,7 +177,7 @@
 func (table *requestTable) serve(request *openRequest, value []byte) {
 	if !request.ended {
 		table.end(request, outcomeServed, "")
-		request.clientRequest.answer(value)
+		request.clientRequest.answerValue(value)
 	}
 }
 
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -85,6 +85,14 @@
 	}
 }
 
+// replyDiscarded reports that a reply of the given length was not kept, and its request failed, for lack of memory.
+func (t trace) replyDiscarded(conn *clientConn, length int) {
+	if t.enabled() {
+		t.write("reply discarded", slog.String("client", conn.socket.RemoteAddr().String()), slog.Int("bytes", length),
+			slog.Int64("client_memory_bytes", conn.downstream.memory.Reserved()))
+	}
+}
+
 // clientReaderWaited reports that the reader of a client's connection has waited for capacity in the reply queue, while
 // further commands may have arrived.
 func (t trace) clientReaderWaited(conn *clientConn, waited time.Duration) {
