Process commands whatever backends do, so that a client's disconnect is seen

Cause: a connection's reader stopped while 256 commands were open, and the end of a TCP stream comes behind all its bytes. With a hanging backend at the head nothing was answered, nothing more was read, and the end could not come.

Why this works: the reader goes on whatever backends do. Over 256 open requests of a connection, or without memory for replies, requests are rejected at once, in their order; an entry takes 128 bytes of a part of memory of its own.

--- a/internal/gateway/budget/clientmemory.go
+++ b/internal/gateway/budget/clientmemory.go
@@ -4,8 +4,9 @@
 	clientMemoryShare   = 0.25     // of the memory limit, for memory used on behalf of clients
 	defaultClientMemory = 32 << 20 // bytes, if the configuration sets no limit
 
-	commandBufferShare = 0.25 // of the clients' memory, for the buffers of long commands
-	replyShare         = 0.5  // of the clients' memory, for replies
+	commandBufferShare = 0.25  // of the clients' memory, for the buffers of long commands
+	replyShare         = 0.5   // of the clients' memory, for replies
+	queueShare         = 0.125 // of the clients' memory, for the entries of long reply queues
 
 	maxReplyBytes = 64<<10 + 16 // the longest value with its size line and CRLF
 )
@@ -20,6 +21,9 @@
 	// Replies is the part for replies: reserved for those of requests behind others on their connections, and used by those
 	// that are ready until they are written.
 	Replies *Bytes
+	// Queues is the part for the entries of long reply queues. It is apart from the replies, as a gateway that can't accept
+	// requests has to reject them.
+	Queues *Bytes
 	// ReplyLength estimates the length of the next value. It begins with the longest.
 	ReplyLength *SizeEstimate
 }
@@ -36,6 +40,7 @@
 		Total:          total,
 		CommandBuffers: total.part(int64(limit * commandBufferShare)),
 		Replies:        total.part(int64(limit * replyShare)),
+		Queues:         total.part(int64(limit * queueShare)),
 		ReplyLength:    NewSizeEstimate(maxReplyBytes),
 	}
 }
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -143,8 +143,8 @@
 }
 
 // takeRequest passes a request to the event loop. It replies to the request itself if it is invalid, the connection is
-// finishing, or no memory is left for it. size is the length of the command in bytes. It reports whether to continue
-// reading.
+// finishing, too many of its requests are open, or no memory is left. size is the length of the command in bytes. It
+// reports whether to continue reading.
 func (conn *clientConn) takeRequest(command string, args [][]byte, size int) bool {
 	down := conn.downstream
 	parsed, err := down.parser.Parse(command, args)
--- a/internal/gateway/clientreader.go
+++ b/internal/gateway/clientreader.go
@@ -119,9 +119,10 @@
 // during the wait.
 //
 // The client may disconnect while the reader waits, and its requests would still be forwarded although nobody waits for
-// the replies. So the reader continues to read as far as its buffer may grow, and thereby detects the disconnect. If the
-// client has sent more than that before it disconnects, the reader cannot detect it; upstream therefore also checks the
-// socket before forwarding (endIfClientDisconnected). TestDisconnectIsDetectedInEveryReaderState and
+// the replies. So the reader waits only if the client does not read its replies or there is no memory, and continues to read
+// as far as its buffer may grow, and thereby detects the disconnect. If the client has sent more than that before it
+// disconnects, the reader cannot detect it; upstream therefore also checks the socket before forwarding
+// (endIfClientDisconnected). TestDisconnectIsDetectedInEveryReaderState and
 // TestReadAheadIsProcessedOnceRepliesFreeCapacity cover this.
 func (conn *clientConn) waitForReplyCapacity() {
 	if conn.commands.ReadAheadLeft() <= 0 {
--- a/internal/gateway/clientreply.go
+++ b/internal/gateway/clientreply.go
@@ -15,25 +15,38 @@
 	return reply != nil
 }
 
-// reserveReply adds an entry for the next reply. It waits while the queue is full, and returns nil if the connection has
-// ended.
+// reserveReply adds an entry for the next reply. It waits while the queue has no capacity, and returns nil if the
+// connection has ended.
 func (conn *clientConn) reserveReply() *pendingReply {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	if conn.replies.full() && !conn.closed {
-		since := conn.downstream.loop.now()
-		for conn.replies.full() && !conn.closed {
-			conn.waitForReplyCapacity()
-		}
-		conn.downstream.trace.clientReaderWaited(conn, conn.downstream.loop.now()-since)
+	reply := conn.tryReserveReply()
+	if reply != nil || conn.closed {
+		return reply
+	}
+	since := conn.downstream.loop.now()
+	for reply == nil && !conn.closed {
+		conn.waitForReplyCapacity()
+		reply = conn.tryReserveReply()
 	}
+	conn.downstream.trace.clientReaderWaited(conn, conn.downstream.loop.now()-since)
+	return reply
+}
+
+// tryReserveReply adds an entry for the next reply. It returns nil if the queue has no capacity or the connection has ended.
+// The caller holds mu.
+func (conn *clientConn) tryReserveReply() *pendingReply {
 	if conn.closed {
 		return nil
 	}
-	return conn.appendReply()
+	reply := conn.replies.tryAdd()
+	if reply != nil {
+		conn.idleSince.Store(notEvictable)
+	}
+	return reply
 }
 
-// acceptRequest makes an entry that of a request, and reports whether there is memory for the request and its reply.
+// acceptRequest makes an entry that of a request, unless too many are open or there is no memory for it and its reply.
 func (conn *clientConn) acceptRequest(reply *pendingReply, request *clientRequest, commandBytes int) bool {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
--- a/internal/gateway/replyqueue.go
+++ b/internal/gateway/replyqueue.go
@@ -6,10 +6,14 @@
 )
 
 const (
-	maxPipelined         = 256       // limit on commands of one connection that wait for their replies
-	pauseUnwrittenBytes  = 256 << 10 // above this many unwritten reply bytes, no command is read and no reply is moved
-	requestOverheadBytes = 1 << 10   // memory charged for a request in addition to its text
-	minReplyBytes        = 256       // least memory reserved for a reply that has to wait
+	maxPipelined        = 256       // limit on open requests of one connection; further ones are rejected
+	maxPendingReplies   = 8 << 10   // at this many pending replies of one connection, no command is processed
+	pauseUnwrittenBytes = 256 << 10 // above this many unwritten reply bytes, no command is processed and no reply is moved
+
+	freeEntries          = 256     // pending replies of one connection whose entries are not charged
+	entryBytes           = 128     // memory charged for each further entry, in addition to its text
+	requestOverheadBytes = 1 << 10 // memory charged for a request in addition to its text
+	minReplyBytes        = 256     // least memory reserved for a reply that has to wait
 )
 
 // pendingReply is a command's entry in the reply queue of its connection. The connection's lock guards it.
@@ -19,6 +23,7 @@
 	request       *clientRequest // nil if the command is not a request, or once the reply is ready
 	commandMemory int64          // bytes of the clients' memory reserved for the request until the reply is ready
 	replyMemory   int64          // bytes of the part for replies: reserved for the reply, or its length once it is ready
+	entryMemory   int64          // bytes of the part for queues reserved for the entry until the reply is moved
 }
 
 // replyQueue holds the replies of a connection in the order of its commands. A reply is pending until it is moved to the
@@ -30,18 +35,18 @@
 //
 // A reply that is ready may have to wait for earlier ones, for as long as these take. So a request behind others is
 // accepted only if memory can be reserved for a reply of the expected length. The next reply to be written needs none: it
-// leaves the gateway as soon as its client reads. The connection's lock guards the queue.
+// leaves the gateway as soon as its client reads.
+//
+// Slow backends do not keep the connection's reader from processing commands, as it would not see that the client
+// disconnects: the end of the connection comes behind all commands. Requests that are not accepted are rejected at once;
+// their entries are small. The connection's lock guards the queue.
 type replyQueue struct {
-	memory    *budget.ClientMemory // shared by all clients
-	pending   []*pendingReply
-	unwritten []byte
-	beingSent int  // bytes that writeRemaining is passing to the socket
-	writing   bool // writeRemaining is running
-}
-
-// full reports whether too many replies are pending, or too many bytes of earlier replies are unwritten.
-func (queue *replyQueue) full() bool {
-	return len(queue.pending) >= maxPipelined || queue.unwrittenBytes() > pauseUnwrittenBytes
+	memory       *budget.ClientMemory // shared by all clients
+	pending      []*pendingReply
+	openRequests int // accepted requests that are not answered
+	unwritten    []byte
+	beingSent    int  // bytes that writeRemaining is passing to the socket
+	writing      bool // writeRemaining is running
 }
 
 // unwrittenBytes returns the number of bytes that are to be written next or are being written.
@@ -52,16 +57,37 @@
 	return len(queue.pending) > 0 || len(queue.unwritten) > 0 || queue.writing
 }
 
-// add appends an entry for the next reply.
+// tryAdd appends an entry for the next reply. It returns nil if the client does not read its replies, too many are
+// pending, or there is no memory for the entry.
+func (queue *replyQueue) tryAdd() *pendingReply {
+	if queue.unwrittenBytes() > pauseUnwrittenBytes || len(queue.pending) >= maxPendingReplies {
+		return nil
+	}
+	entryMemory := int64(0)
+	if len(queue.pending) >= freeEntries {
+		entryMemory = entryBytes
+	}
+	if !queue.memory.Queues.Reserve(entryMemory) {
+		return nil
+	}
+	reply := queue.add()
+	reply.entryMemory = entryMemory
+	return reply
+}
+
+// add appends an entry for the next reply in any case.
 func (queue *replyQueue) add() *pendingReply {
 	reply := &pendingReply{}
 	queue.pending = append(queue.pending, reply)
 	return reply
 }
 
-// acceptRequest makes an entry that of a request whose command has the given length, and reports whether there is memory
-// for it.
+// acceptRequest makes an entry that of a request whose command has the given length. It reports false if too many requests
+// of the connection are open or there is no memory for this one.
 func (queue *replyQueue) acceptRequest(reply *pendingReply, request *clientRequest, commandBytes int) bool {
+	if queue.openRequests >= maxPipelined {
+		return false
+	}
 	commandMemory := int64(commandBytes) + requestOverheadBytes
 	replyMemory := int64(0)
 	if !queue.isNext(reply) {
@@ -75,6 +101,7 @@
 		return false
 	}
 	reply.request, reply.commandMemory, reply.replyMemory = request, commandMemory, replyMemory
+	queue.openRequests++
 	return true
 }
 
@@ -96,7 +123,10 @@
 	}
 	queue.memory.Replies.Adjust(int64(len(text)) - reply.replyMemory)
 	queue.memory.Total.Release(reply.commandMemory)
-	*reply = pendingReply{text: text, ready: true, replyMemory: int64(len(text))}
+	if reply.request != nil {
+		queue.openRequests--
+	}
+	*reply = pendingReply{text: text, ready: true, replyMemory: int64(len(text)), entryMemory: reply.entryMemory}
 	return kept
 }
 
@@ -105,6 +135,7 @@
 func (queue *replyQueue) moveReady() (moved bool) {
 	for len(queue.pending) > 0 && queue.pending[0].ready && queue.unwrittenBytes() <= pauseUnwrittenBytes {
 		queue.unwritten = append(queue.unwritten, queue.pending[0].text...)
+		queue.memory.Queues.Release(queue.pending[0].entryMemory)
 		queue.pending[0] = nil
 		queue.pending = queue.pending[1:]
 		moved = true
@@ -141,6 +172,7 @@
 		}
 		queue.memory.Total.Release(reply.commandMemory)
 		queue.memory.Replies.Release(reply.replyMemory)
+		queue.memory.Queues.Release(reply.entryMemory)
 		*reply = pendingReply{ready: true}
 	}
 	queue.memory.Replies.Release(int64(len(queue.unwritten)))
