Play the steady reader's test without real time

Trace by its figures: it took 3.79 s instead of 2, so the goroutine that reads 32 KiB every 125 ms was held up for over the 1 s of the timeout; then the error is right, and the test's claim that the peer reads was wrong.

The peer's reading is scripted now: which bytes it takes before each deadline. As strict and more: the same claim, a last short piece, and both ways of reading too little. With the renewal of the deadline taken out it fails (1 of 1 runs). It passes -race -count=20.

--- a/internal/gateway/clientreply_test.go
+++ b/internal/gateway/clientreply_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -61,23 +62,55 @@
 	}
 }
 
+// slowConn is a connection whose peer reads the given numbers of bytes before one deadline after another.
+type slowConn struct {
+	net.Conn
+	readable []int
+	deadline time.Time // of the next write
+	written  int
+}
+
+// SetWriteDeadline implements net.Conn.
+func (conn *slowConn) SetWriteDeadline(deadline time.Time) error {
+	conn.deadline = deadline
+	return nil
+}
+
+// Write implements net.Conn. It needs a deadline in the future, and reaches it unless all data can be read before.
+func (conn *slowConn) Write(data []byte) (int, error) {
+	if len(conn.readable) == 0 || !time.Now().Before(conn.deadline) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	n := min(len(data), conn.readable[0])
+	conn.readable, conn.deadline = conn.readable[1:], time.Time{}
+	conn.written += n
+	if n < len(data) {
+		return n, os.ErrDeadlineExceeded
+	}
+	return n, nil
+}
+
 // Guards against a client that reads steadily being disconnected because it takes longer than the timeout to read all
 // that was written at once.
 func TestWriteToASteadyReaderMayOutlastTheTimeout(t *testing.T) {
-	const timeout, chunks = time.Second, 16
-	data := make([]byte, chunks*2*minBytesPerTimeout)
-	conn, peer := net.Pipe()
-	defer conn.Close()
-	defer peer.Close()
-	go func() {
-		chunk := make([]byte, 2*minBytesPerTimeout)
-		for range chunks {
-			time.Sleep(2 * timeout / chunks)
-			io.ReadFull(peer, chunk)
+	const m = minBytesPerTimeout
+	for _, test := range []struct {
+		readable []int // before each deadline
+		bytes    int
+		want     error
+	}{
+		{[]int{4 * m}, 4 * m, nil},
+		{[]int{m, m, 2 * m}, 4 * m, nil},
+		{[]int{m, m, m, 10}, 3*m + 10, nil},
+		{[]int{m, m - 1, 9 * m}, 4 * m, errReadsTooSlowly},
+		{[]int{0}, 10, errReadsTooSlowly},
+	} {
+		conn := &slowConn{readable: test.readable}
+		err := writeSteadily(conn, make([]byte, test.bytes), time.Hour)
+		if !errors.Is(err, test.want) || err == nil && conn.written != test.bytes {
+			t.Errorf("%d bytes, of which %d are read in time: got error %v after %d bytes, want %v", test.bytes,
+				test.readable, err, conn.written, test.want)
 		}
-	}()
-	if err := writeSteadily(conn, data, timeout); err != nil {
-		t.Errorf("got error %v, want none", err)
 	}
 }
 
