--- a/internal/gateway/clientreply.go
+++ b/internal/gateway/clientreply.go
@@ -84,7 +84,7 @@
 		conn.downstream.trace.replyDiscarded(conn, len(text))
 	}
 	conn.moveReadyReplies()
-	if !conn.replies.writing && !conn.closed {
+	if len(conn.replies.unwritten) > 0 && !conn.replies.writing && !conn.closed {
 		conn.writeAvailable()
 	}
 }
@@ -101,22 +101,20 @@
 	}
 }
 
-// writeAvailable writes as much as the socket accepts without waiting, and starts writeRemaining for the remainder. The
-// caller holds mu.
+// writeAvailable writes as much as the socket accepts without waiting, and starts writeRemaining for the remainder and for
+// replies that became ready with it. The caller holds mu.
 func (conn *clientConn) writeAvailable() {
-	for len(conn.replies.unwritten) > 0 {
-		n, err := rawsocket.WriteAvailable(conn.socket, conn.replies.unwritten)
-		conn.replies.removeWritten(n)
-		if err != nil {
-			conn.closeLocked(clientWriteFailed)
-			return
-		}
-		if len(conn.replies.unwritten) > 0 {
-			conn.replies.writing = true
-			go conn.writeRemaining() // returns once everything is written or the connection ends
-			return
-		}
-		conn.moveReadyReplies()
+	n, err := rawsocket.WriteAvailable(conn.socket, conn.replies.unwritten)
+	conn.replies.removeWritten(n)
+	if err != nil {
+		conn.closeLocked(clientWriteFailed)
+		return
+	}
+	conn.moveReadyReplies()
+	if len(conn.replies.unwritten) > 0 {
+		conn.replies.writing = true
+		go conn.writeRemaining() // returns once everything is written or the connection ends
+		return
 	}
 	conn.closeIfDone()
 }
