Check for reply capacity again after memory to read ahead was refused

What callers would see: commands that were read and never answered.

Cause: a connection's reader that waits for reply capacity releases the lock to read ahead. If memory was refused, it took the lock again and waited for the next signal, though capacity may have come in between, for the last time.

Evidence: a test that lets the capacity come while memory is being refused.

Why this works: the condition is checked under the lock that is kept until the wait.

It passes -race -count=20.

--- a/internal/gateway/clientreader.go
+++ b/internal/gateway/clientreader.go
@@ -137,7 +137,9 @@
 	conn.awaitingReplyCapacity, conn.readingAhead = false, false
 	switch {
 	case errors.Is(err, resp.ErrNoMemory):
-		conn.replyCapacityOrClosed.Wait()
+		if !conn.closed && !conn.replies.hasCapacity() { // either may have changed during Fill
+			conn.replyCapacityOrClosed.Wait()
+		}
 	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
 		conn.closeLocked(clientReadEnded)
 	}
--- a/internal/gateway/replyqueue.go
+++ b/internal/gateway/replyqueue.go
@@ -57,17 +57,20 @@
 	return len(queue.pending) > 0 || len(queue.unwritten) > 0 || queue.writing
 }
 
+// hasCapacity reports whether tryAdd would append an entry.
+func (queue *replyQueue) hasCapacity() bool {
+	entryMemory, ok := queue.reserveEntry()
+	if ok {
+		queue.memory.Queues.Release(entryMemory)
+	}
+	return ok
+}
+
 // tryAdd appends an entry for the next reply. It returns nil if the client does not read its replies, too many are
 // pending, or there is no memory for the entry.
 func (queue *replyQueue) tryAdd() *pendingReply {
-	if queue.unwrittenBytes() > pauseUnwrittenBytes || len(queue.pending) >= maxPendingReplies {
-		return nil
-	}
-	entryMemory := int64(0)
-	if len(queue.pending) >= freeEntries {
-		entryMemory = entryBytes
-	}
-	if !queue.memory.Queues.Reserve(entryMemory) {
+	entryMemory, ok := queue.reserveEntry()
+	if !ok {
 		return nil
 	}
 	reply := queue.add()
@@ -75,6 +78,18 @@
 	return reply
 }
 
+// reserveEntry reserves the memory for a further entry, and returns how much that is. It reports false if there can be no
+// further entry.
+func (queue *replyQueue) reserveEntry() (entryMemory int64, ok bool) {
+	if queue.unwrittenBytes() > pauseUnwrittenBytes || len(queue.pending) >= maxPendingReplies {
+		return 0, false
+	}
+	if len(queue.pending) >= freeEntries {
+		entryMemory = entryBytes
+	}
+	return entryMemory, queue.memory.Queues.Reserve(entryMemory)
+}
+
 // add appends an entry for the next reply in any case.
 func (queue *replyQueue) add() *pendingReply {
 	reply := &pendingReply{}
--- a/internal/gateway/replyqueue_test.go
+++ b/internal/gateway/replyqueue_test.go
@@ -54,6 +54,35 @@
 	wantMemoryReleased(t, test.server, test.client)
 }
 
+// refusingBudget is a resp.MemoryBudget that calls a function before it refuses memory.
+type refusingBudget struct{ beforeRefusal func() }
+
+// Reserve implements resp.MemoryBudget.
+func (budget refusingBudget) Reserve(int64) bool {
+	budget.beforeRefusal()
+	return false
+}
+
+// Release implements resp.MemoryBudget.
+func (refusingBudget) Release(int64) {}
+
+// Guards against commands that are never processed: the reply queue gets capacity, for the last time, just as the reader
+// finds no memory to read ahead.
+func TestReaderContinuesIfCapacityComesWhileMemoryIsRefused(t *testing.T) {
+	const commands = 400 // more than the reader's first buffer holds
+	server := newServerWithoutLoop(t, freeAddr(t))
+	setReady(server)
+	conn, client := newClientPair(t, server)
+	release := holdReplyCapacity(server, conn)
+	conn.commands = resp.NewReader(conn, refusingBudget{release})
+	client.write(strings.Repeat(respCommand("PING"), commands))
+	waitForBytes(t, conn.socket)
+	go conn.serve()
+	for range commands {
+		client.wantReply("+PONG")
+	}
+}
+
 // waitingRepliesTest is a client that has sent many requests at once to a gateway with little memory.
 type waitingRepliesTest struct {
 	t      *testing.T
