Let the expected length of replies fall faster

The memory reserved for the reply of a request behind others fell by a factor of e over 64 values, from 64 KiB at the start, so a gateway that has just started rejected requests for longer than it needs to. It falls over 8 values now. The limit on memory holds either way, as a longer reply that finds no memory is replaced by an error.

--- a/internal/gateway/budget/sizeestimate.go
+++ b/internal/gateway/budget/sizeestimate.go
@@ -3,7 +3,7 @@
 import "sync/atomic"
 
 // estimateDecayShift is the binary logarithm of the number of observations over which a SizeEstimate falls by a factor of e.
-const estimateDecayShift = 6
+const estimateDecayShift = 3
 
 // SizeEstimate estimates an upper bound of the next size in a series, in bytes. It rises to a larger size at once and falls
 // slowly. It is safe for concurrent use; of concurrent observations one may be passed over.
