Let reserving nothing succeed while the clients' memory is exceeded

The entry of a short reply queue reserves 0 bytes, which failed while clients that don't read had the total exceeded. A connection without outstanding replies then waited for a signal that never comes, so its command would be read and never answered.

--- a/internal/gateway/budget/bytes.go
+++ b/internal/gateway/budget/bytes.go
@@ -18,7 +18,7 @@
 
 // Reserve reserves n bytes and returns true, or reserves nothing and returns false if that would exceed a limit.
 func (budget *Bytes) Reserve(n int64) bool {
-	if budget == nil {
+	if budget == nil || n == 0 {
 		return true
 	}
 	if budget.reserved.Add(n) > budget.limit || !budget.whole.Reserve(n) {
