--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -27,7 +27,7 @@
 type Answer struct {
 	After  time.Duration // how long the work takes
 	Text   string        // what is written then; empty: nothing
-	Late   string        // a second answer, written LateBy after the first
+	Late   string        // a second answer, sent LateBy after the first if no command waits on the connection then
 	LateBy time.Duration
 	Reset  bool // the connection is reset then
 	Close  bool // the connection is closed then
@@ -42,6 +42,7 @@
 	Group      int
 	Addr       string
 	Idle       time.Duration // after which a connection without work is closed; 0: never
+	Link       time.Duration // one way between the backend and the front doors
 	serve      func(*Attempt) Answer
 	record     *Record
 
@@ -113,7 +114,8 @@
 		conn.Close()
 	}()
 	in := bufio.NewReaderSize(conn, 16<<10)
-	var writing sync.Mutex
+	var mu sync.Mutex
+	var waitsSince time.Time // when the command that is not answered reached the backend; zero: none
 	for {
 		if b.Idle > 0 {
 			conn.SetReadDeadline(time.Now().Add(b.Idle))
@@ -129,19 +131,29 @@
 			continue
 		}
 		attempt.Backend, attempt.Conn = b.Name, number
+		attempt.At = attempt.At.Add(b.Link)
+		mu.Lock()
+		waitsSince = attempt.At
+		mu.Unlock()
+		time.Sleep(time.Until(attempt.At))
 		answer := b.serve(attempt)
-		time.Sleep(time.Until(attempt.At.Add(answer.After)))
-		writing.Lock()
+		sentAt := attempt.At.Add(answer.After)
+		time.Sleep(time.Until(sentAt.Add(b.Link)))
+		mu.Lock()
+		waitsSince = time.Time{}
 		if answer.Text != "" {
 			conn.Write([]byte(answer.Text))
 		}
-		writing.Unlock()
+		mu.Unlock()
 		if answer.Late != "" {
 			go func() {
-				time.Sleep(answer.LateBy)
-				writing.Lock()
-				defer writing.Unlock()
-				conn.Write([]byte(answer.Late))
+				lateAt := sentAt.Add(answer.LateBy)
+				time.Sleep(time.Until(lateAt.Add(b.Link)))
+				mu.Lock()
+				defer mu.Unlock()
+				if waitsSince.IsZero() || waitsSince.After(lateAt) {
+					conn.Write([]byte(answer.Late))
+				}
 			}()
 		}
 		if answer.Reset {
