--- a/review/10/main.go
+++ b/review/10/main.go
@@ -120,6 +120,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.drains[a.Backend] {
+		w.fleet.Record.Logf("an attempt: %s", a)
 		return rig.Answer{After: work, Text: rig.Value(a.ID)}
 	}
 	after := time.Since(w.told)
@@ -154,10 +155,13 @@
 		}
 		id := fmt.Sprintf("%02x%02x%012x", gateway+1, number, n)
 		request := rig.NewRequest(id, 4*time.Second)
+		w.fleet.Record.Logf("the client sends %s to n%d", id, gateway)
 		err := conn.Send(request, rig.Command("Q.ASK", customer, id, rig.Fields("status", "mare", 4*time.Second, "", 3, 0)))
 		if err == nil {
 			<-request.Done()
-			_, _, err, _ = request.Result()
+			var reply rig.Reply
+			reply, _, err, _ = request.Result()
+			w.fleet.Record.Logf("the client has %s answered: %s %v", id, reply, err)
 		}
 		if err != nil {
 			conn.Close()
