Start no attempt by a list that discovery has not confirmed since the start

Cause: endpointSync.giveUp ended the wait for discovery 3.5 s after the start, or 6 s after it if lists began and never ended, and the list of the configuration was then used as if it were current. How long a gateway has waited says nothing about the age of its list. What the agent has counts as told from the first moment of a process (STANDING), whether or not it answers.

Evidence: the new process test TestGatewayThatStartsWhileDiscoveryIsDownSendsNothing failed on the code before: 2,641 requests at draining backends, the first 3.5 s after the start. The two new tests of the engine fail if giveUp ends the wait of a start again.

Change: the engine starts no attempt until the first list is applied, however long that takes. Requests wait for 45% of their time and are rejected. A restarted gateway has to be ready within 6 s, in outages too, so it answers PONG 4 s after its start (action Ready). An agent that opens a watch and tells nothing would keep it waiting for good, so it fetches the list after 3 s. Running gateways behave as before: their list was current until the watch ended.

Tests that asserted the fault: TestLastKnownListIsUsedIfDiscoveryStaysSilent and ...IfListsAreNeverComplete began with a start; they hold with the same bounds for a running gateway, and the new tests say what holds for a start. TestServesFromConfiguredListWhenDiscoveryDoes- NotRespond is TestServesWhenCounterDoesNotRespond and TestServesWithConfiguredListOnceDiscoveryConfirmsIt now; the second wants a rejection first. TestReadyWithConfiguredListOnceConfirmedOrDiscoveryStaysSilent keeps its 6 s and looks for the new log line. TestAuditTakesNoStepForOneImplausiblyHighVersion had an unreachable agent; now that agent has the implausible version itself.

--- a/cmd/bellwood/traffic_test.go
+++ b/cmd/bellwood/traffic_test.go
@@ -105,3 +105,23 @@
 	}
 	return after
 }
+
+// awaitPong sends PING to a gateway until it is answered with PONG, and returns how long after the given time that was. It
+// returns 0 if the context ended before.
+func awaitPong(ctx context.Context, address string, since time.Time) time.Duration {
+	for ; ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			continue
+		}
+		stop := context.AfterFunc(ctx, func() { conn.Close() })
+		io.WriteString(conn, "*1\r\n$4\r\nPING\r\n")
+		line, _ := bufio.NewReader(conn).ReadString('\n')
+		stop()
+		conn.Close()
+		if line == "+PONG\r\n" {
+			return time.Since(since)
+		}
+	}
+	return 0
+}
--- a/internal/emulator/catalog.go
+++ b/internal/emulator/catalog.go
@@ -75,11 +75,11 @@
 	return c.index
 }
 
-// Restart resets the index to 1 and keeps the list, like a restart of a discovery system that loses its index.
-func (c *Catalog) Restart() {
+// Restart sets the index and keeps the list, like a restart of a discovery system that loses its index.
+func (c *Catalog) Restart(index int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.index, c.changes = 1, nil
+	c.index, c.changes = index, nil
 	c.notifyWatches()
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -59,7 +59,7 @@
 	engine *policy.Engine
 
 	backendDiscovered atomic.Bool // at least one backend in service has been discovered; never reset
-	endpointsUsable   atomic.Bool // the engine uses the endpoint list; never reset
+	ready             atomic.Bool // the engine uses the endpoint list, or has waited for it for long enough; never reset
 	suspended         atomic.Bool // the fleet audit has taken the gateway out of service
 
 	watchdog   watchdog.Watchdog
@@ -146,7 +146,7 @@
 	switch {
 	case !server.backendDiscovered.Load():
 		return protocol.NoBackendKnown
-	case !server.endpointsUsable.Load():
+	case !server.ready.Load():
 		return protocol.NotInSync
 	case server.suspended.Load():
 		return protocol.OutOfService
@@ -257,8 +257,8 @@
 		server.discovery.Fetch()
 	case policy.CancelUnsent:
 		server.upstream.cancelAllDials(endpointsOutdated)
-	case policy.EndpointsUsable:
-		server.endpointsUsable.Store(true)
+	case policy.EndpointsUsable, policy.Ready:
+		server.ready.Store(true)
 	case policy.Log:
 		server.log.Info(action.Text)
 	}
--- a/internal/policy/action.go
+++ b/internal/policy/action.go
@@ -61,9 +61,13 @@
 type CancelUnsent struct{}
 
 // EndpointsUsable reports that attempts are started again after EndpointsBehind: the list is current, or
-// discovery has not answered for too long.
+// discovery has not answered a running gateway for too long.
 type EndpointsUsable struct{}
 
+// Ready reports that a gateway accepts requests although discovery has not confirmed its list yet. They wait
+// or are rejected until EndpointsUsable.
+type Ready struct{}
+
 // Log is a log line for operators.
 type Log struct{ Text string }
 
@@ -78,4 +82,5 @@
 func (FetchEndpoints) action()  {}
 func (CancelUnsent) action()    {}
 func (EndpointsUsable) action() {}
+func (Ready) action()           {}
 func (Log) action()             {}
--- a/internal/policy/event.go
+++ b/internal/policy/event.go
@@ -99,7 +99,7 @@
 
 // The causes.
 const (
-	GatewayStarted BehindCause = iota // the gateway has started: discovery may have had changes long before
+	GatewayStarted BehindCause = iota // the gateway has started with a list of unknown age
 	WatchEnded                        // the watch of the list has ended and is being opened again
 	ListBegan                         // a list or change begins to arrive
 	ListContinues                     // a part of it has arrived
