Limit the number of tenants whose state is kept

One connection that sent sound requests at full speed, each with a new customer and id, made the process grow without end.

Cause: the state of each tenant was kept for 60 s after its last request, also if all its requests were rejected, and 8 tenants in 20 ms were examined for eviction.

The new TestMemoryIsBoundedWhileCustomersAreEverNew failed without the limit: 49 MiB of live memory after 160,000 requests, 24 allowed.

Change: an eighth of the memory limit bounds the number of tenants (Settings.MaxTenants, budget.Tenants). A tenant without open requests makes room for a new one: first one whose state is as that of a new tenant, which loses nothing, then the one unused for longest. Tenants in use are kept, whatever others send. A tenant could get its hard limit anew by being evicted, so shares of new tenants count as empty at the last eviction of one whose share wasn't full; TestTenantsAreLimitedInNumber fails without that. The random events play small limits too.

--- /dev/null
+++ b/internal/gateway/floodmemory_test.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	floodMemoryMB = 32
+	floodHeapMB   = 24 // of it, what cmd/bellwood leaves the Go runtime
+	floodCommands = 160_000
+	floodBatch    = 200 // commands written at once
+)
+
+// Guards against memory that grows without end while one client sends sound requests at full speed, each with a new
+// customer and id. Most of them have too little time left, so that the engine rejects them at once.
+func TestMemoryIsBoundedWhileCustomersAreEverNew(t *testing.T) {
+	gateway := startFloodedGateway(t)
+	before := liveBytes()
+	gateway.flood(func(i int) []string {
+		fields := idempotentFields
+		if i%10 != 0 {
+			fields = strings.Replace(fields, "d=20000", "d=1", 1)
+		}
+		return []string{"Q.ASK", fmt.Sprintf("%016x", i), fmt.Sprint(i), fields}
+	})
+	if grown := (liveBytes() - before) / (1 << 20); grown > floodHeapMB {
+		t.Errorf("%.0f MiB of live memory after %d requests, want at most %d", grown, floodCommands, floodHeapMB)
+	}
+}
+
+// startFloodedGateway runs a gateway with little memory and a backend that serves requests at once.
+func startFloodedGateway(t *testing.T) *testGateway {
+	t.Helper()
+	gateway, ln := startWithBackend(t, func(cfg *Config, _ *testing.T) { cfg.MemoryMB = floodMemoryMB })
+	received := emulateBackend(t, ln)
+	go func() {
+		for request := range received {
+			io.WriteString(request.from.socket, valueReply("value")) // its connection may have ended
+		}
+	}()
+	return gateway
+}
+
+// flood sends floodCommands commands on one connection at full speed and reads all replies.
+func (gateway *testGateway) flood(command func(i int) []string) {
+	gateway.t.Helper()
+	client := gateway.dial()
+	client.socket.SetDeadline(time.Time{})
+	go func() {
+		for i := 0; i < floodCommands; {
+			var batch strings.Builder
+			for range floodBatch {
+				batch.WriteString(respCommand(command(i)...))
+				i++
+			}
+			io.WriteString(client.socket, batch.String()) // if that fails, replies are missing
+		}
+	}()
+	for range floodCommands {
+		client.readMessage()
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -73,7 +73,9 @@
 
 // New returns a gateway that accepts connections once Run is called. It returns an error if the settings are invalid.
 func New(cfg *Config, log *slog.Logger) (*Server, error) {
-	engine, err := policy.New(cfg.Settings, cfg.Seed)
+	settings := cfg.Settings
+	settings.MaxTenants = budget.Tenants(cfg.MemoryMB)
+	engine, err := policy.New(settings, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -28,6 +28,7 @@
 	r := &request{id: ev.ID, class: ev.Class, plan: ev.Plan, cost: max(0, ev.Cost), arrivedAt: e.now,
 		deadlineBudget: e.deadlineBudget(ev), clientRetry: ev.ClientRetry, tenant: e.tenantOf(ev)}
 	e.requests[r.id] = r
+	e.tenants.openRequest(r.tenant)
 	if e.suspended {
 		e.reject(r, rejection{reason: OutOfService})
 		return
--- a/internal/policy/engine.go
+++ b/internal/policy/engine.go
@@ -70,7 +70,7 @@
 		rng:           rand.New(rand.NewPCG(seed, 1)),
 		requests:      map[uint64]*request{},
 		weights:       newRequestWeights(&settings),
-		tenants:       newTenantRegistry(),
+		tenants:       newTenantRegistry(settings.MaxTenants),
 		counter:       newCounterCalls(settings.SharedCounter),
 		callEstimates: newCallEstimates(&settings),
 		endpoints:     newEndpointRegistry(),
--- a/internal/policy/hardlimit/hardlimit.go
+++ b/internal/policy/hardlimit/hardlimit.go
@@ -53,6 +53,7 @@
 	units           float64 // in the share, as of filledAt
 	filledAt        time.Duration
 	reserved        float64 // units reserved for queued requests
+	everSpent       bool    // Spend was called
 	exhaustedWindow int64   // 1 + the number of the window whose pool is used up; 0: none
 }
 
@@ -80,6 +81,14 @@
 	return s.units
 }
 
+// IsFull reports whether no unit was ever taken, or all that were taken have been refilled.
+func (s *Share) IsFull(now time.Duration) bool {
+	if !s.Limited() || !s.everSpent {
+		return true
+	}
+	return s.Available(now) >= s.config.Limit.Burst*s.Rate()/s.config.Limit.Rate
+}
+
 // HoldsUnreserved reports whether the unreserved units in the share cover a cost.
 func (s *Share) HoldsUnreserved(now time.Duration, cost float64) bool {
 	return s.Available(now)-s.reserved >= cost
@@ -100,7 +109,10 @@
 func (s *Share) Release(units float64) { s.reserved -= units }
 
 // Spend takes the units of a request that is being sent.
-func (s *Share) Spend(units float64) { s.units -= units }
+func (s *Share) Spend(units float64) {
+	s.units -= units
+	s.everSpent = true
+}
 
 // Rate returns the refill rate of this gateway's share, in units per second.
 func (s *Share) Rate() float64 {
--- a/internal/policy/lease/lease.go
+++ b/internal/policy/lease/lease.go
@@ -133,6 +133,16 @@
 	l.fallbackFilledAt = now
 }
 
+// asNewTolerance, in tokens, covers the rounding of sums that take tokens and return them.
+const asNewTolerance = 1e-6
+
+// IsAsNew reports whether a new lease allows no more than this one: no tokens were spent, or they were
+// returned, and the counter was not called.
+func (l *Lease) IsAsNew() bool {
+	spent := l.bucket.Burst/l.gateways - l.fallback - l.tokens
+	return !l.awaitingAnswer && !l.levelKnown && max(spent, l.unreported-l.tokens) <= asNewTolerance
+}
+
 // TakeTokens pays a cost with leased tokens, or returns false if there are too few.
 func (l *Lease) TakeTokens(cost float64) bool {
 	if l.tokens < cost {
--- a/internal/policy/randomevents_test.go
+++ b/internal/policy/randomevents_test.go
@@ -52,6 +52,7 @@
 func runRandomEvents(t testing.TB, seed uint64) []Action {
 	t.Helper()
 	settings, list := testSettings(), testBackends(5)
+	settings.MaxTenants = int(seed % 5) // there are more tenants
 	if seed%2 == 1 {
 		settings.Classes[withKeyClass].DedupScope = DedupAllBackends
 	}
--- a/internal/policy/request.go
+++ b/internal/policy/request.go
@@ -75,7 +75,8 @@
 
 // deleteIfDone deletes a request that has ended and has no attempt in flight; it keeps any other.
 func (e *Engine) deleteIfDone(r *request) {
-	if r.ended && r.attemptsInFlight == 0 {
+	if r.ended && r.attemptsInFlight == 0 && e.requests[r.id] == r {
 		delete(e.requests, r.id)
+		e.tenants.closeRequest(r.tenant, e.now)
 	}
 }
--- a/internal/policy/settings.go
+++ b/internal/policy/settings.go
@@ -14,6 +14,7 @@
 	TimerResolution time.Duration // a Timer event may be this late
 	Classes         []Class       // at least one
 	Plans           []Plan        // at least one
+	MaxTenants      int           // tenants whose state is kept, unless more have open requests; 0: no limit
 
 	MaxAttempts       int           // attempts per request; at least 1
 	AllowHedging      bool          // two concurrent attempts per request are allowed; the engine never hedges
@@ -92,6 +93,8 @@
 		return errors.New("policy: Plans must not be empty")
 	case s.MaxAttempts < 1:
 		return fmt.Errorf("policy: MaxAttempts is %d, must be at least 1", s.MaxAttempts)
+	case s.MaxTenants < 0:
+		return fmt.Errorf("policy: MaxTenants is %d, must not be negative", s.MaxTenants)
 	case s.TimerResolution < 0 || s.OverloadWindow < 0 || s.SlowStartDuration < 0 || s.PollInterval < 0:
 		return errors.New("policy: negative TimerResolution, OverloadWindow, SlowStartDuration or PollInterval")
 	case s.OverloadMultiple < 0 || s.SlowStartMinShare < 0:
--- a/internal/policy/tenants.go
+++ b/internal/policy/tenants.go
@@ -33,8 +33,11 @@
 	lease         lease.Lease
 	hardLimit     hardlimit.Share
 	admitted      int        // requests that count against the plan's MaxConcurrent
+	openRequests  int        // of the engine's requests, those of this tenant
 	waiting       []*request // requests waiting for the quota or limits, oldest first; some may have ended
 	markedWaiting bool       // it is listed in tenantRegistry.waiting
+	position      int        // in tenantRegistry.order
+	unused        unusedPosition
 }
 
 // setGateways sets the number of gateways that receive the tenant's requests, as told by its latest request.
@@ -83,15 +86,48 @@
 	order       []*tenant // all tenants; evictIdle cycles through them
 	evictCursor int       // index in order of the tenant examined last
 	waiting     []*tenant // tenants marked as waiting; some may no longer have waiting requests
+
+	limit     int           // of tenants; 0: none
+	unused    unusedTenants // those without open requests
+	evictedAt time.Duration // when a tenant was last evicted whose hard limit was not full; 0: never
 }
 
-func newTenantRegistry() tenantRegistry { return tenantRegistry{byKey: map[tenantKey]*tenant{}} }
+// newTenantRegistry returns an empty registry of at most limit tenants; 0 means that there is no limit.
+func newTenantRegistry(limit int) tenantRegistry {
+	return tenantRegistry{byKey: map[tenantKey]*tenant{}, limit: limit}
+}
 
-func (t *tenantRegistry) add(added *tenant) {
+// add adds a tenant. If the limit is reached, it evicts another one first (makeRoom).
+func (t *tenantRegistry) add(added *tenant, now time.Duration) {
+	t.makeRoom(now)
 	t.byKey[added.key] = added
+	added.position = len(t.order)
 	t.order = append(t.order, added)
 }
 
+// remove removes a tenant.
+func (t *tenantRegistry) remove(removed *tenant) {
+	t.unused.remove(removed)
+	delete(t.byKey, removed.key)
+	last := t.order[len(t.order)-1]
+	t.order[removed.position], last.position = last, removed.position
+	t.order[len(t.order)-1] = nil
+	t.order = t.order[:len(t.order)-1]
+}
+
+// openRequest counts a request of the tenant that is open from now on.
+func (t *tenantRegistry) openRequest(of *tenant) {
+	of.openRequests++
+	t.unused.remove(of)
+}
+
+// closeRequest ends the count of a request. The tenant may be evicted once it has no open request.
+func (t *tenantRegistry) closeRequest(of *tenant, now time.Duration) {
+	if of.openRequests--; of.openRequests == 0 {
+		t.unused.add(of, of.isAsNew(now))
+	}
+}
+
 // markWaiting lists a tenant to be served by the next periodic check.
 func (t *tenantRegistry) markWaiting(waiting *tenant) {
 	if !waiting.markedWaiting {
@@ -113,10 +149,7 @@
 	for i := 0; i < evictionsPerCheck && len(t.order) > 0; i++ {
 		t.evictCursor = (t.evictCursor + 1) % len(t.order)
 		if candidate := t.order[t.evictCursor]; candidate.isIdle(now) {
-			delete(t.byKey, candidate.key)
-			last := len(t.order) - 1
-			t.order[t.evictCursor] = t.order[last]
-			t.order = t.order[:last]
+			t.remove(candidate)
 		}
 	}
 }
@@ -128,12 +161,14 @@
 	found := e.tenants.byKey[key]
 	if found == nil {
 		found = e.newTenant(key, gateways)
-		e.tenants.add(found)
+		e.tenants.add(found, e.now)
 	}
 	found.setGateways(gateways)
 	return found
 }
 
+// newTenant returns the state of a tenant that is not known. It may have been evicted and have spent its hard
+// limit before; its share counts as empty at that time, as it does at the start.
 func (e *Engine) newTenant(key tenantKey, gateways float64) *tenant {
 	plan := &e.settings.Plans[key.plan]
 	config := hardlimit.Config{
@@ -144,6 +179,6 @@
 	return &tenant{
 		key:       key,
 		lease:     lease.New(lease.Bucket{Rate: plan.Rate, Burst: plan.Burst}, gateways, e.now),
-		hardLimit: hardlimit.New(config, gateways, e.startedAt),
+		hardLimit: hardlimit.New(config, gateways, max(e.startedAt, e.tenants.evictedAt)),
 	}
 }
--- a/internal/policy/tenants_test.go
+++ b/internal/policy/tenants_test.go
@@ -2,17 +2,18 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
 
 // registryOf returns a registry and its tenants, which were last seen at the given times.
 func registryOf(lastSeen ...time.Duration) (tenantRegistry, []*tenant) {
-	registry := newTenantRegistry()
+	registry := newTenantRegistry(0)
 	var added []*tenant
 	for i, at := range lastSeen {
 		t := &tenant{key: tenantKey{fmt.Sprint("t", i), hardPlan}, lastSeen: at}
-		registry.add(t)
+		registry.add(t, 0)
 		added = append(added, t)
 	}
 	return registry, added
@@ -95,3 +96,79 @@
 		t.Errorf("calls for the other key do not match, or calls are left in flight: %v", calls.inFlight)
 	}
 }
+
+// Guards against memory that grows with each new name: the tenants that clients name are limited in number, those that are
+// in use are kept, and one that comes back has spent its hard limit still.
+func TestTenantsAreLimitedInNumber(t *testing.T) {
+	settings := withoutCounter()
+	settings.MaxTenants = 100
+	engine := newTestEngine(t, settings, testBackends(8)...)
+	now, id := time.Minute, uint64(0)
+	send := func(tenant string) (sent bool) {
+		id++
+		request := testRequest(id, idempotentClass, softPlan)
+		request.Tenant = tenant
+		sends := slices.Clone(sendsOf(engine.Step(now, []Event{request})))
+		for _, s := range sends {
+			engine.Step(now, []Event{servedResult(s, 0, ms)})
+		}
+		return len(sends) > 0
+	}
+	send("in use")
+	inUse := engine.tenants.byKey[tenantKey{"in use", softPlan}]
+	spent := 0
+	for send("spender") {
+		spent++
+	}
+	for i := range 20 * settings.MaxTenants {
+		now += ms
+		send(fmt.Sprint("new ", i))
+		if i%10 == 0 {
+			send("in use")
+		}
+		if tenants := len(engine.tenants.byKey); tenants > settings.MaxTenants || len(engine.tenants.order) != tenants {
+			t.Fatalf("%d tenants (%d in order), want at most %d", tenants, len(engine.tenants.order), settings.MaxTenants)
+		}
+	}
+	if engine.tenants.byKey[tenantKey{"in use", softPlan}] != inUse {
+		t.Error("a tenant that was in use was evicted")
+	}
+	if engine.tenants.byKey[tenantKey{"spender", softPlan}] != nil {
+		t.Fatal("the tenant that spent its hard limit was not evicted")
+	}
+	refilled := settings.Plans[softPlan].HardLimitRate * (now - time.Minute).Seconds() / 2 // two gateways
+	again := 0
+	for send("spender") {
+		again++
+	}
+	if float64(again) > refilled || spent <= again {
+		t.Errorf("%d requests of a tenant that was evicted, after %d before: its hard limit gained %.0f meanwhile", again, spent,
+			refilled)
+	}
+}
+
+// A tenant whose requests were all rejected is evicted before one whose tokens were spent, however long that is unused.
+func TestTenantsWithoutSpentTokensAreEvictedFirst(t *testing.T) {
+	settings := withoutCounter()
+	settings.MaxTenants = 10
+	engine := newTestEngine(t, settings, testBackends(8)...)
+	serve := func(tenant string, id uint64) {
+		request := testRequest(id, idempotentClass, hardPlan)
+		request.Tenant = tenant
+		s := sendsOf(engine.Step(ms, []Event{request}))[0]
+		engine.Step(ms, []Event{servedResult(s, 0, ms)})
+	}
+	for i := range settings.MaxTenants / 2 {
+		serve(fmt.Sprint("served ", i), uint64(i+1))
+	}
+	for i := range 10 * settings.MaxTenants {
+		hopeless := testRequest(uint64(1000+i), idempotentClass, hardPlan)
+		hopeless.Tenant, hopeless.TimeLeft = fmt.Sprint("hopeless ", i), 0
+		engine.Step(ms, []Event{hopeless})
+	}
+	for i := range settings.MaxTenants / 2 {
+		if engine.tenants.byKey[tenantKey{fmt.Sprint("served ", i), hardPlan}] == nil {
+			t.Errorf("tenant %d was evicted for one whose requests were rejected", i)
+		}
+	}
+}
