Stop the engine's timer of a request when the request ends

Each request that reached the engine left a timer until its deadline, however early it was answered, so memory grew with the rate of requests times their time. No budget counts that.

Cause: the engine sets a timer for each deadline, and the gateway kept all of them until they were due, as the simulator does.

Change: SetTimer names the request without which its event is of no use, and the gateway stops the timer with it.

Result: the test passes; tests of the engine, the simulator's protocol, fleetsim and timerqueue pass.

--- a/internal/gateway/floodmemory_test.go
+++ b/internal/gateway/floodmemory_test.go
@@ -32,6 +32,19 @@
 	}
 }
 
+// Guards against memory that grows with the rate of requests: the timers of requests that have ended are removed at once,
+// not when they are due.
+func TestTimersOfEndedRequestsAreRemoved(t *testing.T) {
+	const maxTimers = 32 // of the gateway itself
+	gateway := startFloodedGateway(t)
+	gateway.flood(func(i int) []string { return []string{"Q.ASK", tenantID, fmt.Sprint(i), idempotentFields} })
+	timers := make(chan int)
+	gateway.server.post(func() { timers <- gateway.server.timers.Len() })
+	if n := <-timers; n > maxTimers {
+		t.Errorf("%d timers after the last of %d requests has ended, want at most %d", n, floodCommands, maxTimers)
+	}
+}
+
 // startFloodedGateway runs a gateway with little memory and a backend that serves requests at once.
 func startFloodedGateway(t *testing.T) *testGateway {
 	t.Helper()
--- a/internal/gateway/requesttable.go
+++ b/internal/gateway/requesttable.go
@@ -15,6 +15,7 @@
 	clientRequest *clientRequest
 	deadline      time.Duration // when the client stops waiting, on the loop's clock
 	deadlineTimer *timerqueue.Timer
+	engineTimer   *timerqueue.Timer // set by the engine
 	attempts      []*backendAttempt
 	openAttempts  int  // attempts without a result
 	ended         bool // the final reply was given, or the client has disconnected
@@ -107,6 +108,17 @@
 	})
 }
 
+// addEngineTimer starts a timer that the engine has set for a request, in place of an earlier one. It ignores requests that
+// have ended.
+func (table *requestTable) addEngineTimer(id uint64, at time.Duration, task func()) {
+	request := table.byID[id]
+	if request == nil || request.ended {
+		return
+	}
+	table.loop.stopTimer(request.engineTimer)
+	request.engineTimer = table.loop.addTimer(at, task)
+}
+
 // abandonOverdue abandons the requests whose deadline has passed and that the engine did not answer in the preceding Step.
 // It reports whether any deadline has passed.
 func (table *requestTable) abandonOverdue() bool {
@@ -187,6 +199,7 @@
 	request.ended = true
 	delete(table.clientIDInUse, string(request.clientRequest.ClientID()))
 	table.loop.stopTimer(request.deadlineTimer)
+	table.loop.stopTimer(request.engineTimer)
 	for _, attempt := range request.attempts {
 		table.sender.cancelAttempt(attempt)
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -253,7 +253,7 @@
 	case policy.AddToCounter:
 		server.addToCounter(action)
 	case policy.SetTimer:
-		server.addTimer(action.At, func() { server.emit(policy.Timer{Cookie: action.Cookie}) })
+		server.setTimer(action)
 	case policy.WatchEndpoints, policy.FetchEndpoints:
 		// The gateway keeps a watch open at all times, so both actions are executed as a fetch.
 		server.discovery.Fetch()
@@ -265,3 +265,13 @@
 		server.log.Info(action.Text)
 	}
 }
+
+// setTimer executes a policy.SetTimer action. The timer of a request is stopped when the request ends.
+func (server *Server) setTimer(set policy.SetTimer) {
+	due := func() { server.emit(policy.Timer{Cookie: set.Cookie}) }
+	if set.Request == 0 {
+		server.addTimer(set.At, due)
+		return
+	}
+	server.requests.addEngineTimer(set.Request, set.At, due)
+}
--- a/internal/policy/action.go
+++ b/internal/policy/action.go
@@ -45,8 +45,9 @@
 
 // SetTimer requests a Timer event with the same Cookie at time At or later.
 type SetTimer struct {
-	At     time.Duration
-	Cookie uint64
+	At      time.Duration
+	Cookie  uint64
+	Request uint64 // ID of the request without which the event is of no use; 0: it is always of use
 }
 
 // WatchEndpoints requests changes of the endpoint list from now on. The gateway watches the list in any
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -37,7 +37,8 @@
 		e.reject(r, rejection{reason: DeadlineCannotBeMet})
 		return
 	}
-	e.emit(SetTimer{e.now + r.deadlineBudget - e.settings.TimerResolution, deadlineCookie(r.id)})
+	deadline := e.now + r.deadlineBudget - e.settings.TimerResolution
+	e.emit(SetTimer{At: deadline, Cookie: deadlineCookie(r.id), Request: r.id})
 	r.tenant.recordRequest(e.now, r.cost)
 	// A long queue for the hard limit would leave every request that clears it close to its deadline.
 	if wait := e.hardLimitQueueWait(r); wait > e.maxHardLimitWait(r) && !e.mayBorrow(r) {
--- a/internal/policy/endpoints.go
+++ b/internal/policy/endpoints.go
@@ -12,7 +12,7 @@
 func (e *Engine) endpointsUpdated(update EndpointUpdate) {
 	if update.Kind == UpdateFailed {
 		if retry, pause := e.polling.failed(e.rng); retry {
-			e.emit(SetTimer{e.now + pause, pollCookie})
+			e.emit(SetTimer{At: e.now + pause, Cookie: pollCookie})
 		}
 		return
 	}
--- a/internal/policy/engine.go
+++ b/internal/policy/engine.go
@@ -100,7 +100,7 @@
 	e.started, e.startedAt = true, e.now
 	e.roundRobin = e.rng.IntN(1 << 16) // not all gateways begin with the same backend
 	e.throughput.Start(e.now)
-	e.emit(SetTimer{e.now + checkInterval, checkCookie})
+	e.emit(SetTimer{At: e.now + checkInterval, Cookie: checkCookie})
 	if e.settings.PollEndpoints {
 		e.emit(WatchEndpoints{})
 	}
--- a/internal/policy/periodic.go
+++ b/internal/policy/periodic.go
@@ -15,7 +15,7 @@
 // periodicCheck handles what no event signals: silent backends, slow starts that have ended, requests
 // that can be sent or served now, idle tenants to be evicted, and an outdated endpoint list.
 func (e *Engine) periodicCheck() {
-	e.emit(SetTimer{e.now + checkInterval, checkCookie})
+	e.emit(SetTimer{At: e.now + checkInterval, Cookie: checkCookie})
 	e.checkSync()
 	e.checkBackends()
 	e.endSlowStarts()
--- a/internal/timerqueue/timerqueue.go
+++ b/internal/timerqueue/timerqueue.go
@@ -36,6 +36,9 @@
 	}
 }
 
+// Len returns the number of timers in the queue.
+func (queue *Queue) Len() int { return len(queue.timers) }
+
 // TimeUntilNext returns the time until the next timer is due: 0 if one is due already, an hour if the queue is empty.
 func (queue *Queue) TimeUntilNext(now time.Duration) time.Duration {
 	if len(queue.timers) == 0 {
