Parse a list of fields in one pass, however many fields it has

Cause: parseFields kept all names and searched them for each further one, to reject a name that comes twice. A command's length is limited, its cost was not in proportion to it: 208 ms and 960,768 bytes for one command.

Change: only the eight fields that the gateway reads must be unique, as only there could a backend use another value; a set of bits replaces the list. Others are passed on as they come. Values are parsed where they were received.

--- a/internal/gateway/protocol/parser.go
+++ b/internal/gateway/protocol/parser.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"bytes"
 	"cmp"
 	"errors"
 	"fmt"
@@ -28,7 +29,7 @@
 const (
 	timeLeftTolerance     = time.Second // a client's d may exceed the timeout of its class by this much
 	defaultMaxRequestCost = 1e9         // in units, if the settings give no limit
-	typicalFieldCount     = 16          // field names up to this number need no allocation
+	maxNumberBytes        = 64          // of a number in a field
 	tenantDigits          = 16          // hex digits in a tenant's name
 	tenantLimit           = 1 << 33     // upper bound, exclusive, of a tenant's name as a number
 )
@@ -48,7 +49,7 @@
 	return fmt.Sprintf("wrong number of arguments for '%s'", err.command)
 }
 
-// duplicateFieldError reports that a field is given twice.
+// duplicateFieldError reports that a field that the gateway reads is given twice.
 type duplicateFieldError struct{ field string }
 
 func (err duplicateFieldError) Error() string {
@@ -74,21 +75,41 @@
 	Transport *simprotocol.Transport
 }
 
-// seenFields records which fields a request contains, as far as the Request itself does not show it.
-type seenFields struct {
-	names            []string
-	hasKey, hasFirst bool
+// knownFields lists the fields that the gateway reads. A field's index is its bit in fieldSet.
+var knownFields = [...]string{fieldClass, fieldPlan, fieldTimeLeft, fieldKey, fieldRetry, fieldCost, fieldGateways,
+	fieldFirstGateway}
+
+// fieldSet is a set of known fields.
+type fieldSet uint
+
+// add adds a field, and reports whether it is known and whether the set had it already.
+func (set *fieldSet) add(name []byte) (known, duplicate bool) {
+	for i, field := range knownFields {
+		if string(name) == field {
+			bit := fieldSet(1) << i
+			duplicate = *set&bit != 0
+			*set |= bit
+			return true, duplicate
+		}
+	}
+	return false, false
 }
 
+// has reports whether the set has a known field.
+func (set fieldSet) has(name string) bool { return set&(1<<slices.Index(knownFields[:], name)) != 0 }
+
 // Parse parses a request. command is the command's name in upper case; args are all its arguments, beginning with the
-// name as received. The Request keeps args. The text of the error can be sent to the client; the request must then not be
-// forwarded.
+// name as received. The Request refers to args, see Request.Clone. The text of the error can be sent to the client; the
+// request must then not be forwarded.
 func (parser *Parser) Parse(command string, args [][]byte) (*Request, error) {
 	if len(args) != 4 && len(args) != 5 {
 		return nil, argumentCountError{command}
 	}
+	if len(args[argumentTenant]) != tenantDigits {
+		return nil, errTenant
+	}
 	tenant, err := strconv.ParseUint(string(args[argumentTenant]), 16, 64)
-	if err != nil || len(args[argumentTenant]) != tenantDigits || tenant >= tenantLimit {
+	if err != nil || tenant >= tenantLimit {
 		return nil, errTenant
 	}
 	if len(args[argumentID]) == 0 {
@@ -96,9 +117,8 @@
 	}
 	request := &Request{args: args, Class: -1, Plan: -1,
 		Tenant: strings.ToLower(string(args[argumentTenant]))}
-	var names [typicalFieldCount]string
-	seen := seenFields{names: names[:0]}
-	if err := parser.parseFields(request, &seen, string(args[argumentFields])); err != nil {
+	seen, err := parser.parseFields(request, args[argumentFields])
+	if err != nil {
 		return nil, err
 	}
 	if err := parser.validate(request, seen, command); err != nil {
@@ -107,64 +127,80 @@
 	return request, nil
 }
 
-// parseFields parses the list of fields. A duplicate field is an error, because a backend might use the other value.
-func (parser *Parser) parseFields(request *Request, seen *seenFields, list string) error {
+// parseFields parses the list of fields and returns the known ones among them. A known field that is given twice is an
+// error, because a backend might use the other value. It needs neither time nor memory beyond those for one pass over the
+// list, however many fields it has.
+func (parser *Parser) parseFields(request *Request, list []byte) (seen fieldSet, err error) {
 	for at := 0; at <= len(list); {
-		item, _, _ := strings.Cut(list[at:], ",")
-		name, value, _ := strings.Cut(item, "=")
-		if slices.Contains(seen.names, name) {
-			return duplicateFieldError{name}
-		}
-		seen.names = append(seen.names, name)
-		if !parser.parseField(request, seen, name, value) {
-			return malformedFieldError{name}
+		item, _, _ := bytes.Cut(list[at:], []byte{','})
+		name, value, _ := bytes.Cut(item, []byte{'='})
+		known, duplicate := seen.add(name)
+		switch {
+		case duplicate:
+			return seen, duplicateFieldError{string(name)}
+		case known && !parser.parseField(request, string(name), value):
+			return seen, malformedFieldError{string(name)}
 		}
-		if name == fieldTimeLeft {
+		if string(name) == fieldTimeLeft {
 			request.timeLeftStart, request.timeLeftEnd = at+len(fieldTimeLeft+"="), at+len(item)
 		}
 		at += len(item) + 1
 	}
-	return nil
+	return seen, nil
 }
 
-// parseField parses one field, and reports whether its value is valid. It accepts any value of an unknown field.
-func (parser *Parser) parseField(request *Request, seen *seenFields, name, value string) (ok bool) {
+// parseField parses the value of a known field, and reports whether it is valid.
+func (parser *Parser) parseField(request *Request, name string, value []byte) (ok bool) {
 	switch name {
 	case fieldClass:
-		request.Class = slices.Index(parser.Transport.Classes, value)
+		request.Class = indexOf(parser.Transport.Classes, value)
 		return request.Class >= 0
 	case fieldPlan:
-		request.Plan = slices.Index(parser.Transport.Plans, value)
+		request.Plan = indexOf(parser.Transport.Plans, value)
 		return request.Plan >= 0
 	case fieldTimeLeft:
-		ms, err := strconv.ParseUint(value, 10, 31)
+		ms, ok := parseInteger(value)
 		request.TimeLeft = time.Duration(ms) * time.Millisecond
-		return err == nil && ms > 0
+		return ok && ms > 0
 	case fieldKey:
-		seen.hasKey = true
-		return value != ""
+		return len(value) > 0
 	case fieldRetry:
-		request.ClientRetry = value == "1"
-		return value == "1" || value == "0"
+		request.ClientRetry = string(value) == "1"
+		return string(value) == "1" || string(value) == "0"
 	case fieldCost:
-		request.Cost, ok = parseDecimal(value)
+		if len(value) > maxNumberBytes {
+			return false
+		}
+		request.Cost, ok = parseDecimal(string(value))
 		return ok && request.Cost > 0 && request.Cost <= cmp.Or(parser.Settings.MaxRequestCost, defaultMaxRequestCost)
 	case fieldGateways:
-		gateways, err := strconv.ParseUint(value, 10, 31)
-		request.Gateways = int(gateways)
-		return err == nil && gateways > 0 && int(gateways) <= parser.Settings.Gateways
+		request.Gateways, ok = parseInteger(value)
+		return ok && request.Gateways > 0 && request.Gateways <= parser.Settings.Gateways
 	case fieldFirstGateway:
-		seen.hasFirst = true
-		first, err := strconv.ParseUint(value, 10, 31)
-		return err == nil && int(first) < parser.Settings.Gateways
+		first, ok := parseInteger(value)
+		return ok && first < parser.Settings.Gateways
 	}
 	return true
 }
 
+// indexOf returns the index of a name, or -1 if it is not in the list.
+func indexOf(names []string, name []byte) int {
+	return slices.IndexFunc(names, func(other string) bool { return string(name) == other })
+}
+
+// parseInteger parses a number of up to 31 bits without a sign.
+func parseInteger(text []byte) (number int, ok bool) {
+	if len(text) > maxNumberBytes {
+		return 0, false
+	}
+	parsed, err := strconv.ParseUint(string(text), 10, 31)
+	return int(parsed), err == nil
+}
+
 // validate checks a request whose fields are all valid by themselves: no required field may be missing, and the time left,
 // the command and the idempotency key must fit the request's class.
-func (parser *Parser) validate(request *Request, seen seenFields, command string) error {
-	if request.lacksRequiredField() || !seen.hasFirst {
+func (parser *Parser) validate(request *Request, seen fieldSet, command string) error {
+	if request.lacksRequiredField() || !seen.has(fieldFirstGateway) {
 		return errFieldMissing
 	}
 	// Limits the time left, because the request and its timers are kept for that long.
@@ -175,7 +211,7 @@
 	switch idempotency := class.Idempotency; {
 	case (idempotency == policy.Idempotent) != (command == CommandAsk):
 		return wrongCommandError{command}
-	case idempotency == policy.IdempotentWithKey && !seen.hasKey:
+	case idempotency == policy.IdempotentWithKey && !seen.has(fieldKey):
 		return errKeyMissing
 	}
 	return nil
--- a/internal/gateway/protocol/protocol_test.go
+++ b/internal/gateway/protocol/protocol_test.go
@@ -9,6 +9,7 @@
 	"github.com/tidwall/redcon"
 
 	"bellwood/internal/policy"
+	"bellwood/internal/simprotocol"
 )
 
 // ReadReply accepts any message of a backend, and marks those that are not valid replies to a request as Unexpected.
@@ -58,3 +59,44 @@
 		}
 	}
 }
+
+// Guards against commands of very many short fields, which took time in proportion to the square of their number, and
+// memory of many times their length.
+func TestParseOfManyFieldsAllocatesLittle(t *testing.T) {
+	const maxAllocated = 4 << 10 // bytes
+	list := "c=evaluate,t=open,d=500,units=1,spread=1,first=0"
+	for i := 0; len(list) < 64_000; i++ {
+		list += fmt.Sprintf(",x%x", i)
+	}
+	parser := Parser{Settings: &policy.Settings{Gateways: 1, Classes: make([]policy.Class, 1)},
+		Transport: &simprotocol.Transport{Classes: []string{"evaluate"}, Plans: []string{"open"}}}
+	args := [][]byte{[]byte(CommandAsk), []byte("00000000b4d65521"), []byte("1"), []byte(list)}
+	result := testing.Benchmark(func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			if _, err := parser.Parse(CommandAsk, args); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	if result.N == 0 {
+		t.Fatal("Parse failed")
+	}
+	if allocated := result.AllocedBytesPerOp(); allocated > maxAllocated {
+		t.Errorf("%d bytes allocated for %d bytes of fields, want at most %d", allocated, len(list), maxAllocated)
+	}
+}
+
+// A field that the gateway reads may be given only once, as a backend might use the other value. Others are passed on.
+func TestOnlyKnownFieldsMustBeUnique(t *testing.T) {
+	parser := Parser{Settings: &policy.Settings{Gateways: 1, Classes: make([]policy.Class, 1)},
+		Transport: &simprotocol.Transport{Classes: []string{"evaluate"}, Plans: []string{"open"}}}
+	const fields = "c=evaluate,t=open,d=500,units=1,spread=1,first=0"
+	for again, want := range map[string]bool{"x=1,x=2": true, "x,x": true, "c=evaluate": false, "t=open": false, "d=500": false,
+		"k=1,k=1": false, "r=0,r=1": false, "units=1": false, "spread=1": false, "first=0": false} {
+		args := [][]byte{[]byte(CommandAsk), []byte("00000000b4d65521"), []byte("1"), []byte(fields + "," + again)}
+		if _, err := parser.Parse(CommandAsk, args); (err == nil) != want {
+			t.Errorf("%s again: error %v, want none: %v", again, err, want)
+		}
+	}
+}
