Copy no rejected command, and use the buffers of messages again

A process over its limit is killed.

Cause: a command was copied before there was a place for it, and the buffers in which it had arrived were thrown away. That is half a GB of garbage a second and more; the collector may take half of the processor at most, and beyond that the heap passes the limit that the runtime was given. Memory was in a budget while it was held, not while it was thrown away. The second copy of an id was in none.

The new test TestRejectedLongCommandsMakeLittleGarbage failed before: 66,825 bytes for each rejected command, 15,000 allowed; now about 900.

Change: buffers of messages and of forwarded commands come from a pool (internal/bufferpool). A request gets its entry and its memory first, is parsed where it was received, and is copied then. An open request is charged for both copies of its id. Tenants may take a sixteenth of the memory limit instead of an eighth. Over the limits an invalid request gets -BUSY instead of its error, as it isn't looked at.

--- a/internal/gateway/backendconn.go
+++ b/internal/gateway/backendconn.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"bellwood/internal/bufferpool"
 	"bellwood/internal/gateway/protocol"
 	"bellwood/internal/gateway/rawsocket"
 	"bellwood/internal/policy"
@@ -146,15 +147,17 @@
 	conn.writeState.Store(commandBeingWritten)
 	n, err := rawsocket.WriteAvailable(conn.socket, command)
 	if n == len(command) || err != nil {
+		bufferpool.Return(command)
 		conn.commandWriteEnded(err)
 		return
 	}
-	go conn.writeRest(conn.socket, command[n:])
+	go conn.writeRest(conn.socket, command, n)
 }
 
-// writeRest writes the rest of a command. Closing the socket ends it.
-func (conn *backendConn) writeRest(socket net.Conn, rest []byte) {
-	_, err := socket.Write(rest)
+// writeRest writes a command of which n bytes have been written. Closing the socket ends it.
+func (conn *backendConn) writeRest(socket net.Conn, command []byte, n int) {
+	_, err := socket.Write(command[n:])
+	bufferpool.Return(command)
 	conn.commandWriteEnded(err)
 }
 
--- a/internal/gateway/budget/tenants.go
+++ b/internal/gateway/budget/tenants.go
@@ -1,8 +1,8 @@
 package budget
 
 const (
-	tenantShare = 0.125 // of the memory limit, for the state of tenants
-	tenantBytes = 640   // of one tenant's state
+	tenantShare = 0.0625 // of the memory limit, for the state of tenants
+	tenantBytes = 640    // of one tenant's state
 )
 
 // Tenants returns the limit on tenants whose state is kept, given the gateway's memory limit in MiB. 0 MiB means that the
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -139,48 +139,55 @@
 	case protocol.CommandAsk, protocol.CommandDo:
 		return conn.takeRequest(name, args, len(message.Raw))
 	}
-	return conn.replyInvalid(protocol.UnknownCommand(args[0]))
+	line := protocol.UnknownCommand(args[0])
+	reply := conn.reserveReply()
+	return reply != nil && conn.replyInvalid(reply, line)
 }
 
-// takeRequest passes a request to the event loop. It replies to the request itself if it is invalid, the connection is
-// finishing, too many of its requests are open, or no memory is left. size is the length of the command in bytes. It
-// reports whether to continue reading.
+// takeRequest passes a request to the event loop. It replies to the request itself if the connection is finishing, too many
+// of its requests are open, no memory is left, or the request is invalid. args are parts of the reader's buffer, and size
+// is the length of the command in bytes. Nothing is copied before there is memory for the request. It reports whether to
+// continue reading.
 func (conn *clientConn) takeRequest(command string, args [][]byte, size int) bool {
 	down := conn.downstream
-	parsed, err := down.parser.Parse(command, args)
-	if err != nil {
-		return conn.replyInvalid(protocol.Error(err))
-	}
-	conn.invalidSinceRequest = 0
 	if conn.isFinishing() { // the client can try another gateway
 		return conn.replyNow(string(protocol.Busy(0)))
 	}
-	reply := conn.reserveReply()
+	reply := conn.reserveReplyAtOnce()
 	if reply == nil {
-		return false
+		args = protocol.CloneArguments(args) // waiting reads ahead into the buffer
+		if reply = conn.reserveReply(); reply == nil {
+			return false
+		}
 	}
-	request := &clientRequest{Request: parsed, conn: conn, reply: reply, arrivedAt: conn.arrival.arrivedAt}
-	if !conn.acceptRequest(reply, request, size) {
+	if !conn.acceptCommand(reply, size+protocol.IDBytes(args)) { // the table of open requests keeps another copy of the id
 		conn.answer(reply, protocol.Busy(busyRetryAfter))
 		return true
 	}
+	parsed, err := down.parser.Parse(command, args)
+	if err != nil {
+		return conn.replyInvalid(reply, protocol.Error(err))
+	}
+	conn.invalidSinceRequest = 0
+	request := &clientRequest{Request: parsed.Clone(), conn: conn, reply: reply, arrivedAt: conn.arrival.arrivedAt}
+	conn.setRequest(reply, request)
 	down.loop.post(func() { down.requests.requestArrived(request) })
 	return true
 }
 
-// replyInvalid sends an error reply for an invalid command, and reports whether to continue reading. From the second invalid
+// replyInvalid answers an invalid command with an error, and reports whether to continue reading. From the second invalid
 // command since the last valid request on, it pauses before the next command is read, so that a client that keeps sending
 // invalid commands does not use up the CPU.
-func (conn *clientConn) replyInvalid(line string) bool {
+func (conn *clientConn) replyInvalid(reply *pendingReply, line string) bool {
 	if conn.invalidSinceRequest++; conn.invalidSinceRequest >= maxInvalidSinceRequest {
-		conn.failAndDiscard(line)
+		conn.answerAndDiscard(reply, line)
 		return false
 	}
-	ok := conn.replyNow(line)
-	if conn.invalidSinceRequest > 1 && ok {
-		ok = conn.pause(invalidCommandDelay)
+	conn.answer(reply, []byte(line))
+	if conn.invalidSinceRequest > 1 {
+		return conn.pause(invalidCommandDelay)
 	}
-	return ok
+	return true
 }
 
 // cleanUp closes the connection, releases its resources, and ends its unanswered requests on the event loop.
--- a/internal/gateway/clientreader.go
+++ b/internal/gateway/clientreader.go
@@ -161,10 +161,17 @@
 // that a disconnect is detected even while earlier replies are still outstanding. TestErrorReplySurvivesTrailingInput and
 // TestDisconnectIsDetectedInEveryReaderState cover this.
 func (conn *clientConn) failAndDiscard(line string) {
+	conn.mu.Lock()
+	reply := conn.appendReply()
+	conn.mu.Unlock()
+	conn.answerAndDiscard(reply, line)
+}
+
+// answerAndDiscard does the same as failAndDiscard for a command that has an entry in the reply queue.
+func (conn *clientConn) answerAndDiscard(reply *pendingReply, line string) {
 	conn.socket.SetReadDeadline(time.Time{})
 	conn.mu.Lock()
 	conn.discarding = true
-	reply := conn.appendReply()
 	conn.mu.Unlock()
 	conn.commands.Release()
 	conn.answer(reply, []byte(line))
--- a/internal/gateway/clientreply.go
+++ b/internal/gateway/clientreply.go
@@ -33,6 +33,14 @@
 	return reply
 }
 
+// reserveReplyAtOnce adds an entry for the next reply. It returns nil if the queue has no capacity or the connection has
+// ended.
+func (conn *clientConn) reserveReplyAtOnce() *pendingReply {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.tryReserveReply()
+}
+
 // tryReserveReply adds an entry for the next reply. It returns nil if the queue has no capacity or the connection has ended.
 // The caller holds mu.
 func (conn *clientConn) tryReserveReply() *pendingReply {
@@ -46,11 +54,20 @@
 	return reply
 }
 
-// acceptRequest makes an entry that of a request, unless too many are open or there is no memory for it and its reply.
-func (conn *clientConn) acceptRequest(reply *pendingReply, request *clientRequest, commandBytes int) bool {
+// acceptCommand makes an entry that of a request, unless too many are open or there is no memory for it and its reply.
+func (conn *clientConn) acceptCommand(reply *pendingReply, commandBytes int) bool {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	return conn.replies.acceptRequest(reply, request, commandBytes)
+	return conn.replies.acceptCommand(reply, commandBytes)
+}
+
+// setRequest sets the request of an entry for which acceptCommand has reserved memory.
+func (conn *clientConn) setRequest(reply *pendingReply, request *clientRequest) {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if !reply.ready {
+		reply.request = request
+	}
 }
 
 // appendReply adds an entry for the next reply without checking for capacity. The caller holds mu.
--- a/internal/gateway/floodmemory_test.go
+++ b/internal/gateway/floodmemory_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -45,6 +46,47 @@
 	}
 }
 
+// Guards against garbage that is made faster than it is collected, so that the process exceeds its memory limit: long commands
+// that are rejected at full speed are not copied, and the buffers in which they arrive are used again.
+func TestRejectedLongCommandsMakeLittleGarbage(t *testing.T) {
+	const commands, bodyBytes = 1000, 60_000
+	const maxGarbage = bodyBytes / 4 // less than a copy, with room for buffers that the pool loses
+	server := newServerWithoutLoop(t, freeAddr(t)) // no request is answered, so all but the first maxPipelined are rejected
+	conn, client := newClientPair(t, server)
+	go conn.serve()
+	send := func(first, n int) {
+		text := []byte(respCommand("Q.ASK", tenantID, "1", idempotentFields, strings.Repeat("b", bodyBytes)))
+		for range n {
+			client.socket.Write(text) // if that fails, replies are missing
+		}
+		waitForPendingReplies(t, conn, first+n)
+	}
+	send(0, maxPipelined)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	send(maxPipelined, commands)
+	runtime.ReadMemStats(&after)
+	if each := (after.TotalAlloc - before.TotalAlloc) / commands; each > maxGarbage {
+		t.Errorf("%d bytes allocated for each rejected command of %d bytes, want at most %d", each, bodyBytes, maxGarbage)
+	}
+}
+
+// waitForPendingReplies waits until a connection has n pending replies.
+func waitForPendingReplies(t *testing.T, conn *clientConn, n int) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		conn.mu.Lock()
+		pending := len(conn.replies.pending)
+		conn.mu.Unlock()
+		if pending == n {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d replies are pending, want %d", pending, n)
+		}
+	}
+}
+
 // startFloodedGateway runs a gateway with little memory and a backend that serves requests at once.
 func startFloodedGateway(t *testing.T) *testGateway {
 	t.Helper()
--- a/internal/gateway/replyqueue.go
+++ b/internal/gateway/replyqueue.go
@@ -20,7 +20,8 @@
 type pendingReply struct {
 	text          []byte
 	ready         bool           // the text is set, or the queue has been released
-	request       *clientRequest // nil if the command is not a request, or once the reply is ready
+	accepted      bool           // the command is a request that counts as open
+	request       *clientRequest // nil if the command is not a valid request, or once the reply is ready
 	commandMemory int64          // bytes of the clients' memory reserved for the request until the reply is ready
 	replyMemory   int64          // bytes of the part for replies: reserved for the reply, or its length once it is ready
 	entryMemory   int64          // bytes of the part for queues reserved for the entry until the reply is moved
@@ -97,9 +98,9 @@
 	return reply
 }
 
-// acceptRequest makes an entry that of a request whose command has the given length. It reports false if too many requests
+// acceptCommand makes an entry that of a request whose command has the given length. It reports false if too many requests
 // of the connection are open or there is no memory for this one.
-func (queue *replyQueue) acceptRequest(reply *pendingReply, request *clientRequest, commandBytes int) bool {
+func (queue *replyQueue) acceptCommand(reply *pendingReply, commandBytes int) bool {
 	if queue.openRequests >= maxPipelined {
 		return false
 	}
@@ -115,7 +116,7 @@
 		queue.memory.Total.Release(commandMemory)
 		return false
 	}
-	reply.request, reply.commandMemory, reply.replyMemory = request, commandMemory, replyMemory
+	reply.accepted, reply.commandMemory, reply.replyMemory = true, commandMemory, replyMemory
 	queue.openRequests++
 	return true
 }
@@ -129,7 +130,7 @@
 // longer than expected, and there is no memory for that, the request fails.
 func (queue *replyQueue) setReady(reply *pendingReply, text []byte) (kept bool) {
 	kept = true
-	if more := int64(len(text)) - reply.replyMemory; reply.request != nil && more > 0 && !queue.isNext(reply) {
+	if more := int64(len(text)) - reply.replyMemory; reply.accepted && more > 0 && !queue.isNext(reply) {
 		if kept = queue.memory.Replies.Reserve(more); kept {
 			reply.replyMemory += more
 		} else {
@@ -138,7 +139,7 @@
 	}
 	queue.memory.Replies.Adjust(int64(len(text)) - reply.replyMemory)
 	queue.memory.Total.Release(reply.commandMemory)
-	if reply.request != nil {
+	if reply.accepted {
 		queue.openRequests--
 	}
 	*reply = pendingReply{text: text, ready: true, replyMemory: int64(len(text)), entryMemory: reply.entryMemory}
--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -16,6 +16,8 @@
 	"strconv"
 
 	"github.com/tidwall/redcon"
+
+	"bellwood/internal/bufferpool"
 )
 
 // Limits on messages and buffers.
@@ -99,7 +101,7 @@
 	switch {
 	case len(r.buffer) == 0 && cap(r.buffer) != BufferBytes: // also releases the larger buffer of a long message
 		r.Release()
-		r.buffer = make([]byte, 0, BufferBytes)
+		r.buffer = bufferpool.Take(BufferBytes)
 	case len(r.buffer) == cap(r.buffer):
 		if err := r.grow(); err != nil {
 			return err
@@ -119,7 +121,9 @@
 	if r.budget != nil && !r.budget.Reserve(int64(size-cap(r.buffer))) {
 		return ErrNoMemory
 	}
-	r.buffer = append(make([]byte, 0, size), r.buffer...)
+	grown := append(bufferpool.Take(size), r.buffer...)
+	bufferpool.Return(r.buffer)
+	r.buffer = grown
 	return nil
 }
 
@@ -138,6 +142,7 @@
 	if r.budget != nil && cap(r.buffer) > BufferBytes {
 		r.budget.Release(int64(cap(r.buffer) - BufferBytes))
 	}
+	bufferpool.Return(r.buffer)
 	r.buffer, r.consumed, r.skipping = nil, 0, false
 }
 
