Let readers of client connections with much input take turns

While clients sent PING, long requests or requests of new customers at full speed, others got their answers late or never.

Cause: a gateway has one thread of the runtime. A reader that never waits for input runs until the scheduler stops it, after 10 ms; with 100 of them the event loop and the readers of others get their turn once a second.

Change: a reader may use 32 KB of input in 100 ms freely, each command counting 1 KB more; beyond that it needs the turn, which one reader has at a time. It lets all others run before it gives the turn on, and gives it up wherever it waits.

--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -42,6 +42,7 @@
 	// Used by the reader only.
 	commands            *resp.Reader
 	arrival             arrivalClock
+	turn                readerTurn
 	commandDeadline     time.Time // for receiving the current or the first command; zero: no command has begun to arrive
 	readingAhead        bool      // input is buffered without processing commands, to detect a disconnect
 	deadlineSet         bool      // the socket has a read deadline
@@ -75,6 +76,7 @@
 	conn.commands = resp.NewReader(conn, down.memory.CommandBuffers)
 	now := down.loop.now()
 	conn.arrival = newArrivalClock(now)
+	conn.turn.turns = down.turns
 	conn.idleSince.Store(int64(now))
 	return conn
 }
@@ -91,6 +93,7 @@
 			continue
 		}
 		conn.commandDeadline = time.Time{}
+		conn.turn.use(conn.downstream.loop.now(), commandCost)
 		if !conn.handleCommand(message) {
 			return
 		}
@@ -192,6 +195,7 @@
 
 // cleanUp closes the connection, releases its resources, and ends its unanswered requests on the event loop.
 func (conn *clientConn) cleanUp() {
+	conn.turn.end()
 	down := conn.downstream
 	conn.mu.Lock()
 	conn.closeLocked(clientReadEnded)
--- a/internal/gateway/clientreader.go
+++ b/internal/gateway/clientreader.go
@@ -51,6 +51,7 @@
 	if n > 0 {
 		read.endedAt, read.bytes, read.emptied = conn.downstream.loop.now(), n, n < len(buffer)
 		conn.arrival.inputRead(read)
+		conn.turn.use(read.endedAt, n)
 	}
 	return n, err
 }
@@ -59,6 +60,7 @@
 func (conn *clientConn) readSocket(buffer []byte, waited *bool) (int, error) {
 	if conn.rawSocket == nil {
 		*waited = true
+		conn.turn.end()
 		return conn.socket.Read(buffer)
 	}
 	for {
@@ -70,13 +72,18 @@
 			}
 			defer conn.mu.Unlock()
 			n, failure = conn.readLocked(int(fd), buffer)
-			*waited = *waited || failure == syscall.EAGAIN
-			return failure != syscall.EAGAIN
+			if failure != syscall.EAGAIN {
+				return true
+			}
+			*waited = true
+			conn.turn.end()
+			return false
 		})
 		switch {
 		case err != nil:
 			return 0, err
 		case lockBusy:
+			conn.turn.end()
 			conn.mu.Lock()
 			conn.mu.Unlock() // the lock has been released: try the read again
 		case failure != nil:
@@ -102,6 +109,7 @@
 // pause waits for the duration, and reports whether the connection is still open. It continues reading meanwhile, as far
 // as that allocates no memory, so that a disconnect is detected (TestPauseEndsOnDisconnect).
 func (conn *clientConn) pause(duration time.Duration) bool {
+	conn.turn.end()
 	end := time.Now().Add(duration)
 	conn.socket.SetReadDeadline(end)
 	conn.readingAhead, conn.deadlineSet = true, true
@@ -125,6 +133,7 @@
 // (endIfClientDisconnected). TestDisconnectIsDetectedInEveryReaderState and
 // TestReadAheadIsProcessedOnceRepliesFreeCapacity cover this.
 func (conn *clientConn) waitForReplyCapacity() {
+	conn.turn.end()
 	if conn.commands.ReadAheadLeft() <= 0 {
 		conn.replyCapacityOrClosed.Wait()
 		return
@@ -174,6 +183,7 @@
 	conn.discarding = true
 	conn.mu.Unlock()
 	conn.commands.Release()
+	conn.turn.end()
 	conn.answer(reply, []byte(line))
 	buffer := make([]byte, discardBufferBytes)
 	for left := maxDiscardedBytes; left > 0; {
@@ -182,6 +192,8 @@
 			return
 		}
 		left -= n
+		conn.turn.use(conn.downstream.loop.now(), n)
+		conn.turn.end() // the next read may wait
 	}
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
--- a/internal/gateway/downstream.go
+++ b/internal/gateway/downstream.go
@@ -44,8 +44,9 @@
 	downstreamConfig
 	loop        taskLoop
 	connCount   atomic.Int64
-	lingering   atomic.Int64  // connections in a lingering close (startLinger)
-	rejected    atomic.Int64  // connections rejected for lack of capacity and not closed yet (rejectConn)
+	lingering   atomic.Int64 // connections in a lingering close (startLinger)
+	rejected    atomic.Int64 // connections rejected for lack of capacity and not closed yet (rejectConn)
+	turns       readerTurns
 	acceptEnded chan struct{} // closed once no more connections are accepted
 
 	mu    sync.Mutex // guards conns; never locked while a connection's lock is held
@@ -53,7 +54,7 @@
 }
 
 func newDownstream(loop taskLoop, config downstreamConfig) *downstream {
-	return &downstream{downstreamConfig: config, loop: loop, conns: map[*clientConn]bool{},
+	return &downstream{downstreamConfig: config, loop: loop, conns: map[*clientConn]bool{}, turns: newReaderTurns(),
 		acceptEnded: make(chan struct{})}
 }
 
--- a/internal/gateway/floodmemory_test.go
+++ b/internal/gateway/floodmemory_test.go
@@ -50,7 +50,7 @@
 // that are rejected at full speed are not copied, and the buffers in which they arrive are used again.
 func TestRejectedLongCommandsMakeLittleGarbage(t *testing.T) {
 	const commands, bodyBytes = 1000, 60_000
-	const maxGarbage = bodyBytes / 4 // less than a copy, with room for buffers that the pool loses
+	const maxGarbage = bodyBytes / 4               // less than a copy, with room for buffers that the pool loses
 	server := newServerWithoutLoop(t, freeAddr(t)) // no request is answered, so all but the first maxPipelined are rejected
 	conn, client := newClientPair(t, server)
 	go conn.serve()
