Forward no request while unread input may hide that its client has left

Cause: the end of a stream arrives only when the gateway's machine has room for all that was sent before it. A client that sends more and closes leaves the end at its own machine until the reader has made room, so the socket looked open to the check before an attempt.

Evidence: without the check TestNoAttemptWhileInputHidesADisconnect and TestAttemptIsNotWrittenIfInputHidesADisconnectAfterItsDial fail.

Change: each connection keeps the time up to which all was read that its client had sent (inputProgress). If that is over 50 ms ago and input is unread, or more may follow, an attempt isn't sent, before it takes a connection and after its dial. The engine then rejects the request, which never ran.

The gateway's tests pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,8 +39,7 @@
 	return attempt.request.clientRequest.Forward(attempt.deadline - now)
 }
 
-// closeIfClientDisconnected reports whether the client has disconnected. If so, it closes the gateway's side of the
-// connection too.
-func (attempt *backendAttempt) closeIfClientDisconnected() bool {
-	return attempt.request.clientRequest.conn.closeIfDisconnected()
+// clientPresence reports whether the client still waits for the reply.
+func (attempt *backendAttempt) clientPresence(now time.Duration) clientPresence {
+	return attempt.request.clientRequest.conn.presence(now)
 }
--- a/internal/gateway/backendconn.go
+++ b/internal/gateway/backendconn.go
@@ -105,9 +105,11 @@
 		return
 	}
 	conn.socket = socket
-	if conn.attempt == nil || !conn.upstream.endIfClientDisconnected(conn.attempt) {
+	if conn.attempt == nil || conn.upstream.clientWaits(conn.attempt) {
 		conn.writeCommand()
+		return
 	}
+	conn.upstream.dropConn(conn, policy.NotSent, clientMayBeGone) // does nothing if the request has ended
 }
 
 // readFailed records why reading ended, and posts connectionEnded to the loop unless a write is in progress.
--- a/internal/gateway/clientclose.go
+++ b/internal/gateway/clientclose.go
@@ -25,16 +25,34 @@
 	conn.replyCapacityOrClosed.Broadcast()
 }
 
-// closeIfDisconnected closes the connection if the client has disconnected, which ends all its requests, and reports whether
-// the connection is closed. It checks the socket itself, because the reader may not have detected the disconnect yet: it may
-// wait for reply capacity, or have more input to read first.
-func (conn *clientConn) closeIfDisconnected() bool {
+// clientPresence says whether a client still waits for its replies.
+type clientPresence int
+
+const (
+	clientPresent   clientPresence = iota
+	clientGone                     // it has closed or reset the connection
+	clientUncertain                // its close may be behind input that has not been read for too long
+)
+
+// presence reports whether the client still waits for its replies. If it has disconnected, it closes the connection, which
+// ends all its requests.
+//
+// It checks the socket itself, because the reader may not have detected the disconnect yet: it may wait for reply capacity,
+// or have more input to read first. A client that sends more than the socket holds and disconnects leaves the end of its
+// stream at its own machine until the reader has made room (inputProgress).
+func (conn *clientConn) presence(now time.Duration) clientPresence {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	if !conn.closed && rawsocket.PeerClosed(conn.socket) {
 		conn.closeLocked(clientDisconnected)
 	}
-	return conn.closed
+	switch {
+	case conn.closed:
+		return clientGone
+	case conn.progress.mayHideEnd(now, rawsocket.ReadWouldBlock(conn.socket)):
+		return clientUncertain
+	}
+	return clientPresent
 }
 
 // isFinishing reports whether further requests on the connection are rejected.
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -50,6 +50,7 @@
 
 	commandReceived atomic.Bool  // at least one command has arrived
 	idleSince       atomic.Int64 // event loop time from which no reply is pending, or notEvictable
+	progress        inputProgress
 
 	// mu guards the fields below and the closing of the socket: a goroutine that closes it must hold mu. See receive for
 	// what that means for the reader.
@@ -78,6 +79,7 @@
 	conn.arrival = newArrivalClock(now)
 	conn.turn.turns = down.turns
 	conn.idleSince.Store(int64(now))
+	conn.progress.caughtUpAt.Store(int64(now))
 	return conn
 }
 
--- a/internal/gateway/clientreader.go
+++ b/internal/gateway/clientreader.go
@@ -48,8 +48,9 @@
 func (conn *clientConn) receive(buffer []byte) (int, error) {
 	read := socketRead{begunAt: conn.downstream.loop.now(), ahead: conn.readingAhead}
 	n, err := conn.readSocket(buffer, &read.waited)
+	read.endedAt, read.bytes, read.emptied = conn.downstream.loop.now(), n, n > 0 && n < len(buffer)
+	conn.progress.inputRead(read)
 	if n > 0 {
-		read.endedAt, read.bytes, read.emptied = conn.downstream.loop.now(), n, n < len(buffer)
 		conn.arrival.inputRead(read)
 		conn.turn.use(read.endedAt, n)
 	}
@@ -77,6 +78,7 @@
 			}
 			*waited = true
 			conn.turn.end()
+			conn.progress.waitBegan(conn.downstream.loop.now())
 			return false
 		})
 		switch {
@@ -130,7 +132,7 @@
 // the replies. So the reader waits only if the client does not read its replies or there is no memory, and continues to read
 // as far as its buffer may grow, and thereby detects the disconnect. If the client has sent more than that before it
 // disconnects, the reader cannot detect it; upstream therefore also checks the socket before forwarding
-// (endIfClientDisconnected). TestDisconnectIsDetectedInEveryReaderState and
+// (upstream.clientWaits). TestDisconnectIsDetectedInEveryReaderState and
 // TestReadAheadIsProcessedOnceRepliesFreeCapacity cover this.
 func (conn *clientConn) waitForReplyCapacity() {
 	conn.turn.end()
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -102,6 +102,13 @@
 	}
 }
 
+// attemptWithheld reports that an attempt is not sent because unread input may hide that its client has disconnected.
+func (t trace) attemptWithheld(attempt *backendAttempt) {
+	if t.enabled() {
+		t.write("attempt withheld: the client may have disconnected", t.attemptAttrs(attempt)...)
+	}
+}
+
 func (t trace) attemptAttrs(attempt *backendAttempt) []slog.Attr {
 	return []slog.Attr{requestID(attempt.request), slog.Int("attempt", attempt.number),
 		slog.String("backend", attempt.backend)}
@@ -141,6 +148,7 @@
 	attemptCancelled      backendCloseReason = "attempt cancelled"
 	attemptTimedOut       backendCloseReason = "attempt timed out"
 	attemptTooLate        backendCloseReason = "too late to send"
+	clientMayBeGone       backendCloseReason = "the client may have disconnected"
 	healthCheckTimedOut   backendCloseReason = "health check timed out"
 	gatewayOutOfService   backendCloseReason = "gateway out of service"
 	endpointsOutdated     backendCloseReason = "endpoint list outdated"
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -88,7 +88,7 @@
 // new connection costs the backend work.
 func (up *upstream) startAttempt(attempt *backendAttempt) {
 	pool := up.pools[attempt.backend]
-	if pool == nil || !pool.inService || up.endIfClientDisconnected(attempt) {
+	if pool == nil || !pool.inService || !up.clientWaits(attempt) {
 		up.owner.attemptEnded(attempt, attemptResult{status: policy.NotSent})
 		return
 	}
@@ -114,20 +114,27 @@
 	up.dropConn(conn, status, attemptTimedOut)
 }
 
-// endIfClientDisconnected ends the request of an attempt if its client has disconnected, and reports whether it has.
+// clientWaits reports whether the client of an attempt still waits for the reply. If it has disconnected, it ends the
+// request.
 //
 // The connection's reader may not have detected the disconnect yet: unread data may precede it, or the reader may be
 // waiting for reply capacity. The backend would then work on a request whose client has disconnected, and the request would
 // count as forwarded after the disconnect. So the state of the socket itself is checked, regardless of unread data,
 // before an attempt takes a connection and again when a dialed connection is established. However long the request has
-// waited until then, its command is written directly after one of these checks. Tested by
-// TestUndetectedDisconnectPreventsForwarding and TestDisconnectBehindReadAheadPreventsForwarding.
-func (up *upstream) endIfClientDisconnected(attempt *backendAttempt) bool {
-	disconnected := attempt.closeIfClientDisconnected()
-	if disconnected {
+// waited until then, its command is written directly after one of these checks. Where unread data may hide the disconnect,
+// the attempt is not sent; if that stays so, the engine rejects the request. Tested by
+// TestUndetectedDisconnectPreventsForwarding, TestDisconnectBehindReadAheadPreventsForwarding and
+// TestNoAttemptWhileInputHidesADisconnect.
+func (up *upstream) clientWaits(attempt *backendAttempt) bool {
+	switch attempt.clientPresence(up.loop.now()) {
+	case clientGone:
 		up.owner.clientDisconnected(attempt.request.clientRequest)
+		return false
+	case clientUncertain:
+		up.trace.attemptWithheld(attempt)
+		return false
 	}
-	return disconnected
+	return true
 }
 
 // closeIdleIfUnresponsive handles the timeout of an attempt that was started at the given time. If the backend has sent no
