Don't run a request again under its id if it may have run

A client that left while its request was running and sent it again under the same id had it run a second time, also in a class that must never run twice; so had one whose request had failed after it may have run.

Cause: only the ids of open requests were known. When its client left, a request ended at once and its id was free, while the backend still worked.

Evidence: the new TestRequestThatMayHaveRunDoesNotRunAgainUnderItsID failed without the mend where the client closes, where it resets, with a key, and where the backend resets.

Change: the id of a request that may have run and wasn't served, in a class that isn't idempotent, is remembered as a hash for the longest time that clients wait and a second more. A request with such an id gets an error. A first form refused ids of served requests too, which TestCommandAndValueAreForwardedUnchanged uses again; the client has the value then and asks anew.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -203,3 +203,12 @@
 	}
 	return fmt.Sprint(value)
 }
+
+// maxClientTimeout returns the longest client timeout of all request classes.
+func (cfg *Config) maxClientTimeout() time.Duration {
+	longest := time.Duration(0)
+	for _, class := range cfg.Settings.Classes {
+		longest = max(longest, class.ClientTimeout)
+	}
+	return longest
+}
--- a/internal/gateway/protocol/answer.go
+++ b/internal/gateway/protocol/answer.go
@@ -15,6 +15,7 @@
 	Failed            = "-ERR failed\r\n"                                     // the request may have run, and must not be retried
 	NoAnswerInTime    = "-ERR no answer in time\r\n"                          // the gateway has timed out; the request may have run
 	IDInUse           = "-ERR the id is that of an open request\r\n"
+	IDSpent           = "-ERR the id is that of a request that may have run\r\n"
 	ProtocolError     = "-ERR Protocol error\r\n"
 	NotBulkStrings    = "-ERR Protocol error: expected an array of bulk strings\r\n"
 	CommandIncomplete = "-ERR the command has not come in time\r\n"
--- a/internal/gateway/requesttable.go
+++ b/internal/gateway/requesttable.go
@@ -9,6 +9,9 @@
 	"bellwood/internal/timerqueue"
 )
 
+// spentIDMargin is how long after the longest time that clients wait the id of a request is remembered.
+const spentIDMargin = time.Second
+
 // openRequest is a client's request that still lacks its final reply or has unfinished attempts.
 type openRequest struct {
 	id            uint64 // assigned by the table
@@ -19,6 +22,7 @@
 	attempts      []*backendAttempt
 	openAttempts  int  // attempts without a result
 	ended         bool // the final reply was given, or the client has disconnected
+	mayHaveRun    bool // an attempt has ended that may have run
 }
 
 // finished reports whether the request and all its attempts have ended.
@@ -56,23 +60,27 @@
 	audit        requestAudit
 	maxOpen      int  // limit on open requests; 0: no limit
 	allowHedging bool // a request may have two attempts in flight
+	classes      []policy.Class
 
 	byID          map[uint64]*openRequest
 	clientIDInUse map[string]bool // client ids of the requests without a final reply
+	spentIDs      spentIDs        // client ids of requests that may have run, were not served, and must not run again
 	lastID        uint64
 	overdue       []*openRequest // past their deadline; abandonOverdue answers those that the engine has not answered
 }
 
 func newRequestTable(loop taskLoop, cfg *Config, log *slog.Logger) *requestTable {
 	return &requestTable{loop: loop, log: log, trace: trace{log}, maxOpen: cfg.Transport.MaxOpenRequests,
-		allowHedging: cfg.Settings.AllowHedging, byID: map[uint64]*openRequest{}, clientIDInUse: map[string]bool{}}
+		allowHedging: cfg.Settings.AllowHedging, classes: cfg.Settings.Classes, byID: map[uint64]*openRequest{},
+		clientIDInUse: map[string]bool{}, spentIDs: newSpentIDs(cfg.maxClientTimeout() + spentIDMargin)}
 }
 
 func (table *requestTable) len() int { return len(table.byID) }
 
 // requestArrived adds a request to the table and emits it to the engine. It rejects the request directly if too many are
-// open, or if its client id is that of an open request: an id belongs to one request until its final reply
-// (TestOpenIDIsRejected).
+// open, if its client id is that of an open request, as an id belongs to one request until its final reply
+// (TestOpenIDIsRejected), or if it is that of a request that may have run and must not run again
+// (TestRequestThatMayHaveRunDoesNotRunAgainUnderItsID).
 func (table *requestTable) requestArrived(received *clientRequest) {
 	if table.maxOpen > 0 && len(table.byID) >= table.maxOpen {
 		received.answer(protocol.Busy(0))
@@ -83,6 +91,10 @@
 		received.answer([]byte(protocol.IDInUse))
 		return
 	}
+	if table.spentIDs.contains(received.ClientID(), table.loop.now()) {
+		received.answer([]byte(protocol.IDSpent))
+		return
+	}
 	table.clientIDInUse[clientID] = true
 	table.lastID++
 	request := &openRequest{id: table.lastID, clientRequest: received, deadline: received.arrivedAt + received.TimeLeft}
@@ -203,6 +215,10 @@
 	for _, attempt := range request.attempts {
 		table.sender.cancelAttempt(attempt)
 	}
+	inDoubt := request.mayHaveRun && outcome != outcomeServed // cancelled attempts have ended by now
+	if inDoubt && table.classes[request.clientRequest.Class].Idempotency != policy.Idempotent {
+		table.spentIDs.add(request.clientRequest.ClientID(), table.loop.now())
+	}
 	table.removeIfFinished(request)
 }
 
@@ -268,6 +284,7 @@
 	attempt.ended = true
 	table.loop.stopTimer(attempt.deadlineTimer)
 	attempt.request.openAttempts--
+	attempt.request.mayHaveRun = attempt.request.mayHaveRun || result.status.MayHaveRun()
 	latency := table.loop.now() - attempt.startedAt
 	table.trace.attemptEnded(attempt, result.status, latency)
 	table.loop.emit(policy.AttemptResult{ID: attempt.request.id, Attempt: attempt.number, Backend: attempt.backend,
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -197,21 +197,12 @@
 // beginShutdown computes the schedule of a graceful shutdown and sets its timers.
 func (server *Server) beginShutdown(ln net.Listener) shutdown {
 	server.log.Info("shutdown started")
-	schedule := newShutdown(server.now(), server.maxClientTimeout())
+	schedule := newShutdown(server.now(), server.cfg.maxClientTimeout())
 	server.addTimer(schedule.drainFrom, func() { stopAccepting(ln) })
 	server.addTimer(schedule.abandonAt, server.requests.abandonAll)
 	return schedule
 }
 
-// maxClientTimeout returns the longest client timeout of all request classes.
-func (server *Server) maxClientTimeout() time.Duration {
-	longest := time.Duration(0)
-	for _, class := range server.cfg.Settings.Classes {
-		longest = max(longest, class.ClientTimeout)
-	}
-	return longest
-}
-
 // runIteration runs the queued tasks and the due timers, then lets the engine and the audit process the resulting events.
 func (server *Server) runIteration(task func()) {
 	server.audit.beginIteration()
--- a/internal/policy/event.go
+++ b/internal/policy/event.go
@@ -48,8 +48,8 @@
 	NotSent                       // nothing was sent; has not run
 )
 
-// mayHaveRun reports whether a backend may have acted on an attempt with this outcome.
-func (s Status) mayHaveRun() bool { return s != Rejected && s != ConnectFailed && s != NotSent }
+// MayHaveRun reports whether a backend may have acted on an attempt with this outcome.
+func (s Status) MayHaveRun() bool { return s != Rejected && s != ConnectFailed && s != NotSent }
 
 // String returns the outcome as text for tests and logs.
 func (s Status) String() string {
--- a/internal/policy/randomevents_test.go
+++ b/internal/policy/randomevents_test.go
@@ -119,7 +119,7 @@
 		_, open := r.deadlines[a.ID]
 		if status == OK {
 			delete(r.deadlines, a.ID)
-		} else if _, inDoubt := r.firstInDoubt[a.ID]; status.mayHaveRun() && !inDoubt {
+		} else if _, inDoubt := r.firstInDoubt[a.ID]; status.MayHaveRun() && !inDoubt {
 			r.firstInDoubt[a.ID] = a
 		}
 		events = append(events, AttemptResult{ID: a.ID, Attempt: a.number, Backend: a.Backend, Status: status,
--- a/internal/policy/request.go
+++ b/internal/policy/request.go
@@ -68,7 +68,7 @@
 	a.inFlight = false
 	r.attemptsInFlight--
 	a.backend.inFlight = slices.DeleteFunc(a.backend.inFlight, func(other *attempt) bool { return other == a })
-	if r.firstInDoubt == nil && status.mayHaveRun() {
+	if r.firstInDoubt == nil && status.MayHaveRun() {
 		r.firstInDoubt = a
 	}
 }
