Remove a backend's pool only if it is the one under its name

Cause: removeIfUnused removed a pool by its backend's name. A dial that was cancelled as the backend went reports its end later, with the old pool, and removed the new one.

Evidence: the new TestLateDialReportKeepsThePoolOfANewProcess forces that order and failed before: no pool.

Change: a pool is removed only if it stands under its name.

--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -383,3 +383,28 @@
 		}
 	}
 }
+
+// Guards against a backend that is lost for good: its dials are cancelled as it goes out of service, and the late report of one
+// of them must not remove the pool of the process that has come up under its name since.
+func TestLateDialReportKeepsThePoolOfANewProcess(t *testing.T) {
+	server := newServerWithoutLoop(t, freeAddr(t))
+	newAttempt(t, server) // dials
+	change := func(status, address string) {
+		list := endpointList(2, address)
+		list.Endpoints[0].Status = status
+		server.discovery.Apply(list.Endpoints, policy.Delta)
+	}
+	change("DELETED", server.upstream.pools["s-0"].addr)
+	ln := listen(t)
+	change("SERVING", ln.Addr().String())
+	select {
+	case report := <-server.tasks: // of the cancelled dial
+		report()
+	case <-time.After(testTimeout):
+		t.Fatal("the cancelled dial has not ended")
+	}
+	pool := server.upstream.pools["s-0"]
+	if pool == nil || pool.addr != ln.Addr().String() {
+		t.Fatalf("the pool is %+v, want one for the new process", pool)
+	}
+}
--- a/internal/gateway/upstreamconns.go
+++ b/internal/gateway/upstreamconns.go
@@ -145,9 +145,10 @@
 	}
 }
 
-// removeIfUnused removes the pool of a backend that is out of service and has no connections left.
+// removeIfUnused removes the pool of a backend that is out of service and has no connections left. A pool that was removed
+// before stays so: another one may have its name by now.
 func (up *upstream) removeIfUnused(pool *backendPool) {
-	if !pool.inService && len(pool.conns) == 0 {
+	if !pool.inService && len(pool.conns) == 0 && up.pools[pool.name] == pool {
 		delete(up.pools, pool.name)
 	}
 }
