Terminate a backend whose address another process has taken

Where a backend goes and another one comes up at its address under a new name, a gateway that had been told of the new one and not of the old one's end went on sending the old one's requests to the address. The new process may be in another zone or cell, so a repeat of a keyed request could run a second time there, and it got a warm backend's load beside its slow start.

Evidence: the new TestAttemptIsNotSentToTheSuccessorAtItsBackendsAddress failed before: the new process received the old one's command.

Change: the table of discovery keeps the backend that started last at each address (since_ms). An entry in service with a later start terminates an earlier backend there, in the same update; an entry with an earlier start counts as gone. Backends with the same start, or none, are left alone.

--- a/internal/gateway/discovery/table.go
+++ b/internal/gateway/discovery/table.go
@@ -31,11 +31,12 @@
 	onChange func(backend policy.Backend, address string) // called for each change
 
 	byName         map[string]*knownBackend
-	backends       []*knownBackend // unordered; each element records its position
-	lastListNumber uint64          // number of the list opened last
-	openLists      int             // number of open lists
-	terminated     []*knownBackend // to be removed, unless listed again before
-	everInService  bool            // some backend has been in service
+	byAddress      map[string]*knownBackend // of those at one address, the one that started last
+	backends       []*knownBackend          // unordered; each element records its position
+	lastListNumber uint64                   // number of the list opened last
+	openLists      int                      // number of open lists
+	terminated     []*knownBackend          // to be removed, unless listed again before
+	everInService  bool                     // some backend has been in service
 }
 
 // knownBackend is a backend in the table.
@@ -54,7 +55,8 @@
 }
 
 func newTable(names endpoint.Names, log *slog.Logger, onChange func(policy.Backend, string)) *table {
-	return &table{names: names, log: log, onChange: onChange, byName: map[string]*knownBackend{}}
+	return &table{names: names, log: log, onChange: onChange, byName: map[string]*knownBackend{},
+		byAddress: map[string]*knownBackend{}}
 }
 
 // open assigns a number to a new list. Until the list is closed, no backend is removed or changes its position.
@@ -86,9 +88,7 @@
 			}
 			continue
 		}
-		if t.setBackend(list, backend, endpoints[i].Address) {
-			changes = append(changes, backend)
-		}
+		changes = append(changes, t.setEntry(list, backend, endpoints[i].Address)...)
 	}
 	if invalid > 1 {
 		t.log.Warn("further endpoint list entries ignored", slog.Int("count", invalid-1))
@@ -96,6 +96,32 @@
 	return changes
 }
 
+// setEntry stores the state of a backend according to a list, and returns the changes.
+//
+// Only one process can be at an address. If the entry's process has started after that of another backend at its address, the
+// other one has gone, whether or not discovery has reported that already: its connections would lead to the new process, and
+// what is sent to it would run at a backend of another zone or cell, and in excess of the new one's slow start. If the
+// entry's process has started before the other one's, the entry's backend has gone.
+func (t *table) setEntry(list *openList, backend policy.Backend, address string) (changes []policy.Backend) {
+	other := t.byAddress[address]
+	if other != nil && other.backend.Name != backend.Name && other.backend.State != policy.Terminated {
+		switch {
+		case other.backend.Started < backend.Started && backend.State == policy.InService:
+			gone := other.backend
+			gone.State = policy.Terminated
+			if t.setBackend(list, gone, address) {
+				changes = append(changes, gone)
+			}
+		case other.backend.Started > backend.Started:
+			backend.State = policy.Terminated
+		}
+	}
+	if t.setBackend(list, backend, address) {
+		changes = append(changes, backend)
+	}
+	return changes
+}
+
 // setBackend stores the state of a backend according to a list, unless a later list contained or terminated it. It reports
 // whether that changed anything.
 func (t *table) setBackend(list *openList, backend policy.Backend, address string) bool {
@@ -111,7 +137,7 @@
 	if known.backend == backend && known.address == address {
 		return false
 	}
-	known.backend, known.address = backend, address
+	t.setAddress(known, backend, address)
 	switch backend.State {
 	case policy.InService:
 		t.everInService = true
@@ -122,6 +148,24 @@
 	return true
 }
 
+// setAddress stores the state and the address of a backend. The one that is stored for the address is then the backend that
+// started last of those that have been listed with it.
+func (t *table) setAddress(known *knownBackend, backend policy.Backend, address string) {
+	t.forgetAddress(known)
+	known.backend, known.address = backend, address
+	if other := t.byAddress[address]; other == nil || other.backend.State == policy.Terminated ||
+		other.backend.Started <= backend.Started {
+		t.byAddress[address] = known
+	}
+}
+
+// forgetAddress removes a backend from those stored by address.
+func (t *table) forgetAddress(known *knownBackend) {
+	if t.byAddress[known.address] == known {
+		delete(t.byAddress, known.address)
+	}
+}
+
 // terminateMissing marks the backends absent from a snapshot as terminated, a batch per call. It returns the changes to
 // report to the engine, and whether all backends have been checked.
 func (t *table) terminateMissing(list *openList) (changes []policy.Backend, last bool) {
@@ -167,4 +211,5 @@
 	t.backends[len(t.backends)-1] = nil
 	t.backends = t.backends[:len(t.backends)-1]
 	delete(t.byName, known.backend.Name)
+	t.forgetAddress(known)
 }
--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -408,3 +408,28 @@
 		t.Fatalf("the pool is %+v, want one for the new process", pool)
 	}
 }
+
+// Guards against work that goes to the wrong backend: while an attempt dials, another process comes up at the address of its
+// backend, under another name. Discovery lists the new one, and not yet that the old one has gone.
+func TestAttemptIsNotSentToTheSuccessorAtItsBackendsAddress(t *testing.T) {
+	ln := listen(t)
+	server := newServerWithoutLoop(t, ln.Addr().String())
+	newAttempt(t, server)
+	successor := accept(t, ln)
+	list := endpointList(2, ln.Addr().String())
+	list.Endpoints[0].Name, list.Endpoints[0].SinceMS = "s-1", time.Now().UnixMilli()
+	server.discovery.Apply(list.Endpoints, policy.Delta)
+	wantResult(t, server, policy.NotSent)
+	select {
+	case report := <-server.tasks: // of the dial
+		report()
+	case <-time.After(testTimeout):
+		t.Fatal("the dial has not ended")
+	}
+	if message, err := successor.tryReadMessage(); err == nil {
+		t.Errorf("the new process received %q", message)
+	}
+	if pool := server.upstream.pools["s-1"]; pool == nil || !pool.inService {
+		t.Errorf("the pool of the new backend is %+v, want it in service", pool)
+	}
+}
