Leave memory for first requests while others send very many at once

Clients with thousands of commands on one connection used up the clients' memory with requests that wait behind one another, and single requests of others were rejected within a few ms.

Cause: all requests took from one budget, first come, first served, although those behind others can't be answered before them.

Evidence: the new TestRequestsBehindOthersLeaveMemoryForFirstRequests failed before: rejected after 5,672 requests of 100 clients.

Change: requests that wait for others on their connections may use a quarter of the clients' memory (ClientMemory.Pipelined).

--- a/internal/gateway/budget/clientmemory.go
+++ b/internal/gateway/budget/clientmemory.go
@@ -7,6 +7,7 @@
 	commandBufferShare = 0.25  // of the clients' memory, for the buffers of long commands
 	replyShare         = 0.5   // of the clients' memory, for replies
 	queueShare         = 0.125 // of the clients' memory, for the entries of long reply queues
+	pipelinedShare     = 0.25  // of the clients' memory, for requests behind others on their connections
 
 	maxReplyBytes = 64<<10 + 16 // the longest value with its size line and CRLF
 )
@@ -24,6 +25,9 @@
 	// Queues is the part for the entries of long reply queues. It is apart from the replies, as a gateway that can't accept
 	// requests has to reject them.
 	Queues *Bytes
+	// Pipelined is the part for requests that have to wait for others on their connections to be answered. Clients that send
+	// many at once leave the rest to the requests of others.
+	Pipelined *Bytes
 	// ReplyLength estimates the length of the next value. It begins with the longest.
 	ReplyLength *SizeEstimate
 }
@@ -41,6 +45,7 @@
 		CommandBuffers: total.part(int64(limit * commandBufferShare)),
 		Replies:        total.part(int64(limit * replyShare)),
 		Queues:         total.part(int64(limit * queueShare)),
+		Pipelined:      total.part(int64(limit * pipelinedShare)),
 		ReplyLength:    NewSizeEstimate(maxReplyBytes),
 	}
 }
--- a/internal/gateway/replyqueue.go
+++ b/internal/gateway/replyqueue.go
@@ -22,7 +22,8 @@
 	ready         bool           // the text is set, or the queue has been released
 	accepted      bool           // the command is a request that counts as open
 	request       *clientRequest // nil if the command is not a valid request, or once the reply is ready
-	commandMemory int64          // bytes of the clients' memory reserved for the request until the reply is ready
+	commandMemory int64          // bytes reserved for the request until the reply is ready
+	commandBudget *budget.Bytes  // from which they are reserved; nil: none are
 	replyMemory   int64          // bytes of the part for replies: reserved for the reply, or its length once it is ready
 	entryMemory   int64          // bytes of the part for queues reserved for the entry until the reply is moved
 }
@@ -105,18 +106,20 @@
 		return false
 	}
 	commandMemory := int64(commandBytes) + requestOverheadBytes
-	replyMemory := int64(0)
+	commandBudget, replyMemory := queue.memory.Total, int64(0)
 	if !queue.isNext(reply) {
+		commandBudget = queue.memory.Pipelined
 		replyMemory = max(queue.memory.ReplyLength.Bytes(), minReplyBytes)
 	}
-	if !queue.memory.Total.Reserve(commandMemory) {
+	if !commandBudget.Reserve(commandMemory) {
 		return false
 	}
 	if !queue.memory.Replies.Reserve(replyMemory) {
-		queue.memory.Total.Release(commandMemory)
+		commandBudget.Release(commandMemory)
 		return false
 	}
-	reply.accepted, reply.commandMemory, reply.replyMemory = true, commandMemory, replyMemory
+	reply.accepted, reply.commandMemory, reply.commandBudget = true, commandMemory, commandBudget
+	reply.replyMemory = replyMemory
 	queue.openRequests++
 	return true
 }
@@ -138,7 +141,7 @@
 		}
 	}
 	queue.memory.Replies.Adjust(int64(len(text)) - reply.replyMemory)
-	queue.memory.Total.Release(reply.commandMemory)
+	reply.commandBudget.Release(reply.commandMemory)
 	if reply.accepted {
 		queue.openRequests--
 	}
@@ -186,7 +189,7 @@
 		if reply.request != nil {
 			unanswered = append(unanswered, reply.request)
 		}
-		queue.memory.Total.Release(reply.commandMemory)
+		reply.commandBudget.Release(reply.commandMemory)
 		queue.memory.Replies.Release(reply.replyMemory)
 		queue.memory.Queues.Release(reply.entryMemory)
 		*reply = pendingReply{ready: true}
--- a/internal/gateway/replyqueue_test.go
+++ b/internal/gateway/replyqueue_test.go
@@ -148,3 +148,29 @@
 	}
 	test.server.requests.serve(openRequestByID(test.server, "0"), []byte(respBulk(value)))
 }
+
+// Guards against clients that send very many requests at once and so take the memory for the requests of others: what waits
+// behind other requests on its connection leaves some for the first request of each connection.
+func TestRequestsBehindOthersLeaveMemoryForFirstRequests(t *testing.T) {
+	const clients, commandBytes = 100, 200
+	memory := budget.NewClientMemory(32)
+	for memory.ReplyLength.Bytes() > minReplyBytes {
+		memory.ReplyLength.Observe(0)
+	}
+	accepted := 0
+	for range clients {
+		queue := replyQueue{memory: memory}
+		for range maxPipelined {
+			if queue.acceptCommand(queue.add(), commandBytes) {
+				accepted++
+			}
+		}
+	}
+	if accepted == clients*maxPipelined {
+		t.Fatal("there is memory for all requests")
+	}
+	other := replyQueue{memory: memory}
+	if !other.acceptCommand(other.add(), resp.MaxMessageBytes) {
+		t.Errorf("the first request of another connection was rejected, after %d requests of %d clients", accepted, clients)
+	}
+}
