Keep tenants that have open requests

A tenant without a request for 60 s was evicted although a request of it was still known, such as one whose attempt can't be cancelled. When that request ended, the registry listed the evicted tenant as unused, and could remove another one of the same name in its place.

Cause: isIdle looked at admitted requests only; a request that has its answer isn't admitted any more.

Evidence: the new TestTenantWithOpenRequestIsNotEvicted forces it.

Change: a tenant with open requests isn't idle.

--- a/internal/policy/tenants.go
+++ b/internal/policy/tenants.go
@@ -75,9 +75,10 @@
 func (t *tenant) clearWaitingMark() { t.markedWaiting = false }
 
 // isIdle reports whether the tenant may be evicted: no request arrived for tenantIdleTime, its lease awaits
-// no answer, and none of its requests is admitted. Eviction loses usage not yet reported to the counter.
+// no answer, and none of its requests is admitted or open. Eviction loses usage not yet reported to the
+// counter.
 func (t *tenant) isIdle(now time.Duration) bool {
-	return now-t.lastSeen > tenantIdleTime && !t.lease.AwaitsAnswer() && t.admitted == 0
+	return now-t.lastSeen > tenantIdleTime && !t.lease.AwaitsAnswer() && t.admitted == 0 && t.openRequests == 0
 }
 
 // tenantRegistry holds all tenants with recent requests.
--- a/internal/policy/tenants_test.go
+++ b/internal/policy/tenants_test.go
@@ -34,6 +34,24 @@
 	}
 }
 
+// Guards against a registry that refers to evicted tenants: one with a request that is still known, such as one whose attempt
+// can't be cancelled, is kept however long that lasts.
+func TestTenantWithOpenRequestIsNotEvicted(t *testing.T) {
+	registry, added := registryOf(0)
+	registry.limit = 1
+	registry.openRequest(added[0])
+	registry.evictIdle(time.Hour)
+	registry.add(&tenant{key: tenantKey{"other", hardPlan}}, time.Hour)
+	if registry.byKey[added[0].key] != added[0] || len(registry.byKey) != 2 {
+		t.Errorf("left: %v, want both tenants", registry.byKey)
+	}
+	registry.closeRequest(added[0], time.Hour)
+	registry.evictIdle(time.Hour)
+	if registry.byKey[added[0].key] != nil || registry.unused.firstToEvict() != nil {
+		t.Errorf("left: %v, want the other tenant only, and none to evict", registry.byKey)
+	}
+}
+
 func TestEvictionExaminesBoundedNumberOfTenantsPerCheck(t *testing.T) {
 	registry, _ := registryOf(make([]time.Duration, 3*evictionsPerCheck)...)
 	for left := 3 * evictionsPerCheck; left > 0; left -= evictionsPerCheck {
