Let a sound client's longest request pass without a turn

A reader needed a turn beyond 32 KB in 100 ms, so a single request of 60 KB had to wait among busy readers, and the wait counted against the 2.5 s in which a command must arrive: with many of them a sound command could fail.

Cause: the free part was smaller than a command may be, and the deadline of a command ran while its reader wasn't allowed to read.

Evidence: TestTimeSpentWaitingForTheTurnIsNotTheCommands fails if the wait counts: "the command has not come in time".

Change: the free part is that of the longest command; a command counts 2 KB more than it has, and a turn is 32 KB. The deadline of a command moves by the wait for the turn.

--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -95,7 +95,7 @@
 			continue
 		}
 		conn.commandDeadline = time.Time{}
-		conn.turn.use(conn.downstream.loop.now(), commandCost)
+		conn.useTurn(conn.downstream.loop.now(), commandCost)
 		if !conn.handleCommand(message) {
 			return
 		}
--- a/internal/gateway/clientreader.go
+++ b/internal/gateway/clientreader.go
@@ -52,11 +52,20 @@
 	conn.progress.inputRead(read)
 	if n > 0 {
 		conn.arrival.inputRead(read)
-		conn.turn.use(read.endedAt, n)
+		conn.useTurn(read.endedAt, n)
 	}
 	return n, err
 }
 
+// useTurn counts input and waits for the reader's turn if it needs one. That time is not the client's, so it does not count
+// against the command that is arriving.
+func (conn *clientConn) useTurn(now time.Duration, bytes int) {
+	waited := conn.turn.use(now, bytes)
+	if waited > 0 && !conn.commandDeadline.IsZero() {
+		conn.commandDeadline = conn.commandDeadline.Add(waited)
+	}
+}
+
 // readSocket does what receive describes. It sets waited if the socket is empty at first.
 func (conn *clientConn) readSocket(buffer []byte, waited *bool) (int, error) {
 	if conn.rawSocket == nil {
@@ -194,7 +203,7 @@
 			return
 		}
 		left -= n
-		conn.turn.use(conn.downstream.loop.now(), n)
+		conn.useTurn(conn.downstream.loop.now(), n)
 		conn.turn.end() // the next read may wait
 	}
 	conn.mu.Lock()
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -205,9 +205,9 @@
 }
 
 // maxClientTimeout returns the longest client timeout of all request classes.
-func (cfg *Config) maxClientTimeout() time.Duration {
+func (c *Config) maxClientTimeout() time.Duration {
 	longest := time.Duration(0)
-	for _, class := range cfg.Settings.Classes {
+	for _, class := range c.Settings.Classes {
 		longest = max(longest, class.ClientTimeout)
 	}
 	return longest
--- a/internal/gateway/readerturn.go
+++ b/internal/gateway/readerturn.go
@@ -3,13 +3,15 @@
 import (
 	"runtime"
 	"time"
+
+	"bellwood/internal/resp"
 )
 
 const (
 	turnWindow    = 100 * time.Millisecond
-	freeTurnBytes = 32 << 10 // which a reader may read and process in a turnWindow without a turn
-	turnBytes     = 16 << 10 // after which a reader gives its turn to the next
-	commandCost   = 1 << 10  // bytes counted for each command in addition to its own
+	turnBytes     = 32 << 10                           // after which a reader gives its turn to the next
+	commandCost   = 2 << 10                            // bytes counted for each command in addition to its own
+	freeTurnBytes = resp.MaxMessageBytes + commandCost // which a reader may use in a turnWindow without a turn
 )
 
 // readerTurns divides the processor fairly among the readers of client connections. A reader with much input needs a turn
@@ -28,23 +30,38 @@
 	left       int           // bytes of the turn
 }
 
-// use counts input of the given number of bytes, and waits for the turn if the reader needs one to go on.
-func (turn *readerTurn) use(now time.Duration, bytes int) {
+// use counts input of the given number of bytes, and waits for the turn if the reader needs one to go on. It returns how long
+// it has waited.
+func (turn *readerTurn) use(now time.Duration, bytes int) (waited time.Duration) {
 	if now >= turn.windowEnds {
 		turn.windowEnds, turn.used = now+turnWindow, 0
 	}
 	if turn.used += bytes; turn.used <= freeTurnBytes {
-		return
+		return 0
 	}
 	if turn.held && turn.left <= 0 {
 		runtime.Gosched() // the event loop and readers that need no turn run first
 		turn.end()
 	}
 	if !turn.held {
-		turn.turns <- struct{}{}
-		turn.held, turn.left = true, turnBytes
+		waited = turn.wait()
+		turn.left = turnBytes
 	}
 	turn.left -= bytes
+	return waited
+}
+
+// wait waits until the reader has the turn, and returns how long that took.
+func (turn *readerTurn) wait() time.Duration {
+	turn.held = true
+	select {
+	case turn.turns <- struct{}{}:
+		return 0
+	default:
+	}
+	since := time.Now()
+	turn.turns <- struct{}{}
+	return time.Since(since)
 }
 
 // end gives the turn to the next reader. It must be called before the reader waits for anything but the event loop.
--- a/internal/gateway/readerturn_test.go
+++ b/internal/gateway/readerturn_test.go
@@ -115,3 +115,21 @@
 		})
 	}
 }
+
+// Guards against a sound command that fails because its reader had to wait for the turn: that time is not its client's.
+func TestTimeSpentWaitingForTheTurnIsNotTheCommands(t *testing.T) {
+	server := newServerWithoutLoop(t, freeAddr(t))
+	setReady(server)
+	conn, client := newClientPair(t, server)
+	go conn.serve()
+	server.downstream.turns <- struct{}{} // another reader has the turn
+	const pings = freeTurnBytes / commandCost / 2
+	input := strings.Repeat(respCommand("PING"), pings) + respCommand("PING", strings.Repeat("x", 60_000))
+	client.write(input[:len(input)-3])
+	time.Sleep(commandTimeout + 100*time.Millisecond)
+	<-server.downstream.turns
+	client.write(input[len(input)-3:])
+	for range pings + 1 {
+		client.wantReply("+PONG")
+	}
+}
