--- a/internal/gateway/clientclose.go
+++ b/internal/gateway/clientclose.go
@@ -49,7 +49,7 @@
 	switch {
 	case conn.closed:
 		return clientGone
-	case conn.progress.mayHideEnd(now, rawsocket.ReadWouldBlock(conn.socket)):
+	case conn.progress.mayHideEnd(now, func() bool { return rawsocket.ReadWouldBlock(conn.socket) }):
 		return clientUncertain
 	}
 	return clientPresent
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -144,7 +144,7 @@
 	case protocol.CommandAsk, protocol.CommandDo:
 		return conn.takeRequest(name, args, len(message.Raw))
 	}
-	line := protocol.UnknownCommand(args[0])
+	line := protocol.UnknownCommand(args[0]) // first, as waiting for an entry reads ahead into the buffer
 	reply := conn.reserveReply()
 	return reply != nil && conn.replyInvalid(reply, line)
 }
--- a/internal/gateway/clientreply.go
+++ b/internal/gateway/clientreply.go
@@ -61,13 +61,11 @@
 	return conn.replies.acceptCommand(reply, commandBytes)
 }
 
-// setRequest sets the request of an entry for which acceptCommand has reserved memory.
+// setRequest sets the request of an entry that acceptCommand has accepted, before the request is passed on.
 func (conn *clientConn) setRequest(reply *pendingReply, request *clientRequest) {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	if !reply.ready {
-		reply.request = request
-	}
+	reply.request = request
 }
 
 // appendReply adds an entry for the next reply without checking for capacity. The caller holds mu.
--- a/internal/gateway/discovery/table.go
+++ b/internal/gateway/discovery/table.go
@@ -88,7 +88,7 @@
 			}
 			continue
 		}
-		changes = append(changes, t.setEntry(list, backend, endpoints[i].Address)...)
+		changes = t.setEntry(changes, list, backend, endpoints[i].Address)
 	}
 	if invalid > 1 {
 		t.log.Warn("further endpoint list entries ignored", slog.Int("count", invalid-1))
@@ -96,13 +96,13 @@
 	return changes
 }
 
-// setEntry stores the state of a backend according to a list, and returns the changes.
+// setEntry stores the state of a backend according to a list, and appends what that changes to changes.
 //
 // Only one process can be at an address. If the entry's process has started after that of another backend at its address, the
 // other one has gone, whether or not discovery has reported that already: its connections would lead to the new process, and
 // what is sent to it would run at a backend of another zone or cell, and in excess of the new one's slow start. If the
 // entry's process has started before the other one's, the entry's backend has gone.
-func (t *table) setEntry(list *openList, backend policy.Backend, address string) (changes []policy.Backend) {
+func (t *table) setEntry(changes []policy.Backend, list *openList, backend policy.Backend, address string) []policy.Backend {
 	other := t.byAddress[address]
 	if other != nil && other.backend.Name != backend.Name && other.backend.State != policy.Terminated {
 		switch {
--- a/internal/gateway/floodmemory_test.go
+++ b/internal/gateway/floodmemory_test.go
@@ -59,7 +59,7 @@
 		for range n {
 			client.socket.Write(text) // if that fails, replies are missing
 		}
-		waitForPendingReplies(t, conn, first+n)
+		waitForPending(t, server, first+n)
 	}
 	send(0, maxPipelined)
 	var before, after runtime.MemStats
@@ -71,22 +71,6 @@
 	}
 }
 
-// waitForPendingReplies waits until a connection has n pending replies.
-func waitForPendingReplies(t *testing.T, conn *clientConn, n int) {
-	t.Helper()
-	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
-		conn.mu.Lock()
-		pending := len(conn.replies.pending)
-		conn.mu.Unlock()
-		if pending == n {
-			return
-		}
-		if time.Now().After(end) {
-			t.Fatalf("%d replies are pending, want %d", pending, n)
-		}
-	}
-}
-
 // startFloodedGateway runs a gateway with little memory and a backend that serves requests at once.
 func startFloodedGateway(t *testing.T) *testGateway {
 	t.Helper()
--- a/internal/gateway/inputprogress.go
+++ b/internal/gateway/inputprogress.go
@@ -52,8 +52,8 @@
 }
 
 // mayHideEnd reports whether the client may have closed the connection more than maxUnreadTime ago without a sign of it.
-// empty says whether the socket has no unread input now.
-func (progress *inputProgress) mayHideEnd(now time.Duration, empty bool) bool {
+// socketEmpty reports whether the socket has no unread input now; it is called only if that decides.
+func (progress *inputProgress) mayHideEnd(now time.Duration, socketEmpty func() bool) bool {
 	if now-time.Duration(progress.caughtUpAt.Load()) <= maxUnreadTime {
 		return false
 	}
@@ -61,5 +61,5 @@
 	if since := time.Duration(progress.waitingSince.Load()); since > 0 { // input that has come since then is new
 		return long && now-since < quietTime
 	}
-	return long || !empty
+	return long || !socketEmpty()
 }
--- a/internal/gateway/inputprogress_test.go
+++ b/internal/gateway/inputprogress_test.go
@@ -12,13 +12,16 @@
 // unreadPings are commands that take longer to read than a socket's buffers hold.
 var unreadPings = []byte(strings.Repeat(respCommand("PING"), 2_000_000))
 
-// acceptRequestOf makes a client send a request, and returns its entry in the table.
-func acceptRequestOf(t *testing.T, server *Server, client *peer) *openRequest {
+// startWithOpenRequest returns a gateway with one client, which has sent a request with the id 1. The request is open.
+func startWithOpenRequest(t *testing.T) (server *Server, conn *clientConn, client *peer, request *openRequest) {
 	t.Helper()
+	server = newServerWithoutLoop(t, listen(t).Addr().String())
+	conn, client = newClientPair(t, server)
+	go conn.serve()
 	client.write(requestCommand("1"))
 	runTasksUntil(t, server, func() bool { return len(server.requests.byID) == 1 })
 	server.events = nil
-	return openRequestByID(server, "1")
+	return server, conn, client, openRequestByID(server, "1")
 }
 
 // Guards against a request that is forwarded after its client has left: a client sends much behind its request and closes the
@@ -26,11 +29,7 @@
 func TestNoAttemptWhileInputHidesADisconnect(t *testing.T) {
 	for how, end := range clientEnds {
 		t.Run(how, func(t *testing.T) {
-			ln := listen(t)
-			server := newServerWithoutLoop(t, ln.Addr().String())
-			conn, client := newClientPair(t, server)
-			go conn.serve()
-			request := acceptRequestOf(t, server, client)
+			server, conn, client, request := startWithOpenRequest(t)
 			server.downstream.turns <- struct{}{} // another reader has the turn and keeps it
 			go func() {
 				client.socket.SetWriteDeadline(time.Now().Add(maxUnreadTime))
@@ -53,10 +52,7 @@
 
 // The dial of an attempt lasts so long that its client's input hides a disconnect at its end.
 func TestAttemptIsNotWrittenIfInputHidesADisconnectAfterItsDial(t *testing.T) {
-	server := newServerWithoutLoop(t, listen(t).Addr().String())
-	conn, client := newClientPair(t, server)
-	go conn.serve()
-	request := acceptRequestOf(t, server, client)
+	server, _, client, request := startWithOpenRequest(t)
 	server.requests.addAttempt(request, policy.SendAttempt{ID: request.id, Backend: "s-0"})
 	server.downstream.turns <- struct{}{}
 	go client.socket.Write(unreadPings)
@@ -69,10 +65,7 @@
 // Input that has just come, however long the connection was idle before, is no reason to withhold an attempt; nor is input
 // that the reader has not read for a short time.
 func TestAttemptIsSentWhileInputIsUnreadForAShortTime(t *testing.T) {
-	server := newServerWithoutLoop(t, listen(t).Addr().String())
-	conn, client := newClientPair(t, server)
-	go conn.serve()
-	request := acceptRequestOf(t, server, client)
+	server, conn, client, request := startWithOpenRequest(t)
 	time.Sleep(2 * maxUnreadTime)
 	conn.mu.Lock() // the reader can't read meanwhile
 	client.write(respCommand("PING"))
@@ -145,7 +138,7 @@
 		t.Run(name, func(t *testing.T) {
 			var progress inputProgress
 			test.script(&progress)
-			if got := progress.mayHideEnd(1000*ms, test.empty); got != test.want {
+			if got := progress.mayHideEnd(1000*ms, func() bool { return test.empty }); got != test.want {
 				t.Errorf("mayHideEnd is %v, want %v", got, test.want)
 			}
 		})
--- a/internal/gateway/protocol/protocol_test.go
+++ b/internal/gateway/protocol/protocol_test.go
@@ -60,6 +60,12 @@
 	}
 }
 
+// newTestParser returns a parser for one gateway with one class and one plan.
+func newTestParser() *Parser {
+	return &Parser{Settings: &policy.Settings{Gateways: 1, Classes: make([]policy.Class, 1)},
+		Transport: &simprotocol.Transport{Classes: []string{"evaluate"}, Plans: []string{"open"}}}
+}
+
 // Guards against commands of very many short fields, which took time in proportion to the square of their number, and
 // memory of many times their length.
 func TestParseOfManyFieldsAllocatesLittle(t *testing.T) {
@@ -68,8 +74,7 @@
 	for i := 0; len(list) < 64_000; i++ {
 		list += fmt.Sprintf(",x%x", i)
 	}
-	parser := Parser{Settings: &policy.Settings{Gateways: 1, Classes: make([]policy.Class, 1)},
-		Transport: &simprotocol.Transport{Classes: []string{"evaluate"}, Plans: []string{"open"}}}
+	parser := newTestParser()
 	args := [][]byte{[]byte(CommandAsk), []byte("00000000b4d65521"), []byte("1"), []byte(list)}
 	result := testing.Benchmark(func(b *testing.B) {
 		b.ReportAllocs()
@@ -89,8 +94,7 @@
 
 // A field that the gateway reads may be given only once, as a backend might use the other value. Others are passed on.
 func TestOnlyKnownFieldsMustBeUnique(t *testing.T) {
-	parser := Parser{Settings: &policy.Settings{Gateways: 1, Classes: make([]policy.Class, 1)},
-		Transport: &simprotocol.Transport{Classes: []string{"evaluate"}, Plans: []string{"open"}}}
+	parser := newTestParser()
 	const fields = "c=evaluate,t=open,d=500,units=1,spread=1,first=0"
 	for again, want := range map[string]bool{"x=1,x=2": true, "x,x": true, "c=evaluate": false, "t=open": false, "d=500": false,
 		"k=1,k=1": false, "r=0,r=1": false, "units=1": false, "spread=1": false, "first=0": false} {
--- a/internal/gateway/requesttable.go
+++ b/internal/gateway/requesttable.go
@@ -58,9 +58,9 @@
 	trace        trace
 	sender       attemptSender
 	audit        requestAudit
-	maxOpen      int  // limit on open requests; 0: no limit
-	allowHedging bool // a request may have two attempts in flight
-	classes      []policy.Class
+	maxOpen      int            // limit on open requests; 0: no limit
+	allowHedging bool           // a request may have two attempts in flight
+	classes      []policy.Class // of the settings
 
 	byID          map[uint64]*openRequest
 	clientIDInUse map[string]bool // client ids of the requests without a final reply
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -22,7 +22,7 @@
 // It replies with an error:
 //
 //   - to input that it cannot read or parse (clientConn.handleReadError, handleCommand and takeRequest);
-//   - to a request that reuses the id of an open request (requestTable.requestArrived);
+//   - to a request that reuses the id of an open request, or of one that may have run (requestTable.requestArrived);
 //   - to a request that the engine has not answered by the client's deadline or by the end of a shutdown
 //     (requestTable.abandon).
 //
--- a/internal/gateway/testgateway_test.go
+++ b/internal/gateway/testgateway_test.go
@@ -219,20 +219,26 @@
 // waitForPending waits until the client connection with the most pending replies has n of them.
 func (gateway *testGateway) waitForPending(n int) {
 	gateway.t.Helper()
+	waitForPending(gateway.t, gateway.server, n)
+}
+
+// waitForPending waits until the client connection with the most pending replies has n of them.
+func waitForPending(t *testing.T, server *Server, n int) {
+	t.Helper()
 	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
 		most := 0
-		gateway.server.downstream.mu.Lock()
-		for conn := range gateway.server.downstream.conns {
+		server.downstream.mu.Lock()
+		for conn := range server.downstream.conns {
 			conn.mu.Lock()
 			most = max(most, len(conn.replies.pending))
 			conn.mu.Unlock()
 		}
-		gateway.server.downstream.mu.Unlock()
+		server.downstream.mu.Unlock()
 		if most == n {
 			return
 		}
 		if time.Now().After(end) {
-			gateway.t.Fatalf("%d replies are pending, want %d", most, n)
+			t.Fatalf("%d replies are pending, want %d", most, n)
 		}
 	}
 }
