--- a/internal/policy/rejection.go
+++ b/internal/policy/rejection.go
@@ -153,30 +153,19 @@
 
 // clientRetryMayRunTwice reports whether a client's retry could make the request take effect twice.
 // Reject promises that retrying is harmless, so such a request is answered with Fail instead
-// (WIRE-bellwood.md, The contract, rule 2, "No effect done twice": a request with a key that may have
-// run is rejected only if all backends drop repeats, a non-idempotent request only if it provably never
-// ran).
+// (WIRE-bellwood.md, The contract, rule 2, "No effect done twice").
+//
+// That includes a request with an idempotency key, even if all backends drop its repeats: they do so within
+// DedupWindow only, and the promise has no end. Fail costs such a client nothing, since it retries within the
+// window after any failure, as it would after a rejection (The other side).
 func (e *Engine) clientRetryMayRunTwice(r *request) bool {
-	return r.mayHaveRun() && !repeatIsHarmless(&e.settings.Classes[r.class])
+	return r.mayHaveRun() && e.settings.Classes[r.class].Idempotency != Idempotent
 }
 
 // mayHaveRun reports whether a backend may have acted on the request: an attempt is in flight, or one has
 // ended that may have run.
 func (r *request) mayHaveRun() bool { return r.firstInDoubt != nil || r.attemptsInFlight > 0 }
 
-// repeatIsHarmless reports whether a request of the class may be sent again to any backend, since a
-// client's retry may reach any of them. Unlike mayRepeat it ignores DedupWindow: clients are assumed to
-// repeat a request only within the window (WIRE-bellwood.md, The other side).
-func repeatIsHarmless(class *Class) bool {
-	switch class.Idempotency {
-	case NonIdempotent:
-		return false
-	case IdempotentWithKey:
-		return class.DedupScope == DedupAllBackends
-	}
-	return true
-}
-
 // clientRetryAfter caps the retry-after advice at the longest that clients honor. It returns 0 if the
 // settings disable the advice.
 func (e *Engine) clientRetryAfter(rej rejection) time.Duration {
--- a/internal/policy/rejection_test.go
+++ b/internal/policy/rejection_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -168,6 +169,55 @@
 	}
 }
 
+// Guards against a job that takes effect twice: a request with a key that may have run must not be answered
+// with Reject, which a client may obey when backends no longer drop repeats, whatever its scope.
+func TestRequestWithKeyThatMayHaveRunIsNotRejected(t *testing.T) {
+	window := 400 * ms
+	settings := testSettings()
+	settings.Classes[withKeyClass].DedupScope, settings.Classes[withKeyClass].DedupWindow = DedupAllBackends, window
+	for name, test := range map[string]struct {
+		firstResult Status // of the first attempt, 20 ms after it was sent; OK: the attempt stays in flight
+		deadline    time.Duration
+		wantFail    bool
+	}{
+		"in flight after the window":         {OK, 600 * ms, true},
+		"in flight shortly before its end":   {OK, window - 10*ms, true},
+		"reset, no other backend":            {ConnectionReset, 600 * ms, true},
+		"turned away, no other backend":      {Rejected, 600 * ms, false},
+		"never connected, no other backend":  {ConnectFailed, 600 * ms, false},
+		"timed out, no other backend":        {TimedOut, 600 * ms, true},
+		"an invalid reply, no other backend": {Failed, 600 * ms, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			engine := newTestEngine(t, settings, testBackends(1)...)
+			request := testRequest(1, withKeyClass, noQuotaPlan)
+			request.TimeLeft = test.deadline
+			actions := slices.Clone(engine.Step(ms, []Event{request}))
+			first := sendsOf(actions)[0]
+			if test.firstResult != OK {
+				gone := EndpointUpdate{Backends: []Backend{{Name: first.Backend, State: Terminated}}}
+				actions = append(actions, engine.Step(20*ms, []Event{gone, unservedResult(first, 0, test.firstResult)})...)
+			}
+			for now := 20 * ms; now <= test.deadline+20*ms; now += 10 * ms {
+				events := []Event{Timer{checkCookie}}
+				for _, timer := range actionsOf[SetTimer](actions) {
+					if timer.At > now-10*ms && timer.At <= now {
+						events = append(events, Timer{timer.Cookie})
+					}
+				}
+				actions = append(actions, engine.Step(now, events)...)
+			}
+			wantRejects, wantFails := 1, 0
+			if test.wantFail {
+				wantRejects, wantFails = 0, 1
+			}
+			if rejects, fails := len(rejectsOf(actions)), len(actionsOf[Fail](actions)); rejects != wantRejects || fails != wantFails {
+				t.Errorf("%d Rejects and %d Fails, want %d and %d", rejects, fails, wantRejects, wantFails)
+			}
+		})
+	}
+}
+
 // Each reason has its own text.
 func TestRejectReasonsHaveDistinctText(t *testing.T) {
 	texts := map[string]RejectReason{}
